--- /dev/null
+++ b/usage/versioned.go
@@ -0,0 +1,40 @@
+package usage
+
+// clock numbers the changes of all maps of one writer.
+type clock struct{ version uint64 }
+
+// versioned is a map that remembers at which version each entry changed last,
+// so that a peer can be sent only the entries it lacks.
+type versioned[K comparable, V comparable] struct {
+	clock   *clock
+	values  map[K]V
+	changed map[K]uint64
+}
+
+func newVersioned[K comparable, V comparable](c *clock) *versioned[K, V] {
+	return &versioned[K, V]{clock: c, values: map[K]V{}, changed: map[K]uint64{}}
+}
+
+// set stores the value and advances the version if the value is new.
+func (v *versioned[K, V]) set(key K, value V) {
+	if old, ok := v.values[key]; ok && old == value {
+		return
+	}
+	v.clock.version++
+	v.values[key] = value
+	v.changed[key] = v.clock.version
+}
+
+func (v *versioned[K, V]) get(key K) V { return v.values[key] }
+
+// since calls visit for each entry that changed after the version.
+func (v *versioned[K, V]) since(version uint64, visit func(K, V)) {
+	if version >= v.clock.version {
+		return
+	}
+	for k, c := range v.changed {
+		if c > version {
+			visit(k, v.values[k])
+		}
+	}
+}
