Fix the interfaces between modules

Cause: limits, quarantine marks and time line events cross module borders.

Result: the tree builds and is formatted; no behaviour yet.

--- a/slot/message.go
+++ b/slot/message.go
@@ -2,7 +2,10 @@
 // the daemon that owns targets, Holder for the daemons that queue requests.
 package slot
 
-import "rattanline.example/rattanline/usage"
+import (
+	"rattanline.example/rattanline/limit"
+	"rattanline.example/rattanline/usage"
+)
 
 // Slot is the right to have one request in flight at a target. Owner and Number
 // make it unique, so repeated and reordered messages do no harm.
@@ -43,6 +46,8 @@
 	Returned []Slot
 	Demands  []Demand
 	States   []TargetState
+	// Observations sum up the attempts since the last renewal, by target.
+	Observations map[string]limit.Observation
 }
 
 // RenewalReply tells which slots remain valid. A slot of the renewal that is
