--- /dev/null
+++ b/config/encode.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+)
+
+// MaxValue is the largest value that the platform's key-value service takes.
+const MaxValue = 1_000_000
+
+// MaxSize bounds the stored document. The difference to MaxValue is for the
+// envelope with its history of submits.
+const MaxSize = MaxValue - 32<<10
+
+// maxDecoded bounds the memory that a damaged or hostile value can take.
+const maxDecoded = 16 << 20
+
+// Encode writes a document, or a value that holds one, in the stored form:
+// compressed JSON. Uncompressed, the document of the largest planned fleet
+// would exceed MaxValue.
+func Encode(v any) ([]byte, error) {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if err := json.NewEncoder(z).Encode(v); err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// Decode reads what Encode wrote into the value that v points to.
+func Decode(data []byte, v any) error {
+	z, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("decompress: %w", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(z, maxDecoded+1))
+	if err != nil {
+		return fmt.Errorf("decompress: %w", err)
+	}
+	if len(text) > maxDecoded {
+		return errors.New("decompress: the value is too large")
+	}
+	if err := json.Unmarshal(text, v); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	return nil
+}
+
+// Marshal writes the document as YAML.
+func (d Document) Marshal() ([]byte, error) {
+	data, err := yaml.MarshalWithOptions(d, yaml.IndentSequence(true))
+	if err != nil {
+		return nil, fmt.Errorf("marshal document: %w", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+)
+
+// MaxText bounds the YAML text of a document, so that an operator's mistake
+// can't keep a small host busy with parsing.
+const MaxText = 4 << 20
+
+// Parse reads and validates a document in YAML. It refuses unknown and
+// duplicate fields. Its error is of type Problems; each names line and field.
+func Parse(data []byte) (Document, error) {
+	if len(data) > MaxText {
+		return Document{}, Problems{{Message: fmt.Sprintf("the text has %d bytes, at most %d are allowed", len(data), MaxText)}}
+	}
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return Document{}, Problems{located(err, nil)}
+	}
+	if len(file.Docs) > 1 {
+		return Document{}, Problems{{Message: "the text holds more than one YAML document"}}
+	}
+	// An empty file is a mistake; accepting it would remove the whole fleet.
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil || file.Docs[0].Body.Type() == ast.NullType {
+		return Document{}, Problems{{Message: "the text holds no document"}}
+	}
+	var d Document
+	if err := yaml.UnmarshalWithOptions(data, &d, yaml.Strict()); err != nil {
+		return Document{}, Problems{located(err, file)}
+	}
+	if err := d.Validate(); err != nil {
+		var problems Problems
+		if !errors.As(err, &problems) {
+			return Document{}, fmt.Errorf("validate: %w", err)
+		}
+		lines := fieldLines(file)
+		for i := range problems {
+			problems[i].Line = lineOf(lines, problems[i].Field)
+		}
+		return Document{}, problems
+	}
+	return d, nil
+}
+
+// UnmarshalYAML reads a duration so that its errors have a position.
+func (d *Duration) UnmarshalYAML(n ast.Node) error {
+	text := n.GetToken().Value
+	if err := d.UnmarshalText([]byte(text)); err != nil {
+		return &yaml.SyntaxError{Message: fmt.Sprintf("%q is not a duration such as 30s", text), Token: n.GetToken()}
+	}
+	return nil
+}
+
+// located converts an error of the YAML library, with the field looked up by
+// the position of its token.
+func located(err error, file *ast.File) Problem {
+	var e yaml.Error
+	if !errors.As(err, &e) || e.GetToken() == nil {
+		return Problem{Message: err.Error()}
+	}
+	p := Problem{Line: e.GetToken().Position.Line, Message: e.GetMessage()}
+	walkFields(file, func(field string, n ast.Node) {
+		if p.Field == "" && n.GetToken().Position.Offset == e.GetToken().Position.Offset {
+			p.Field = field
+		}
+	})
+	return p
+}
+
+// fieldLines maps each field of the text, such as "targets[3].url", to its line.
+func fieldLines(file *ast.File) map[string]int {
+	lines := map[string]int{}
+	walkFields(file, func(field string, n ast.Node) {
+		if _, ok := lines[field]; !ok {
+			lines[field] = n.GetToken().Position.Line
+		}
+	})
+	return lines
+}
+
+// lineOf returns the line of the field, or of the nearest enclosing field if
+// the text leaves it out.
+func lineOf(lines map[string]int, field string) int {
+	for field != "" {
+		if line, ok := lines[field]; ok {
+			return line
+		}
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+	}
+	return 0
+}
+
+// walkFields visits the keys and values of the text, enclosing ones first.
+func walkFields(file *ast.File, visit func(field string, n ast.Node)) {
+	if file == nil {
+		return
+	}
+	for _, doc := range file.Docs {
+		if doc.Body != nil {
+			walkNode("", doc.Body, visit)
+		}
+	}
+}
+
+func walkNode(field string, n ast.Node, visit func(field string, n ast.Node)) {
+	switch o := n.(type) {
+	case *ast.MappingNode:
+		for _, v := range o.Values {
+			walkNode(field, v, visit)
+		}
+	case *ast.MappingValueNode:
+		inner := strings.TrimPrefix(field+"."+o.Key.GetToken().Value, ".")
+		visit(inner, o.Key)
+		walkNode(inner, o.Value, visit)
+	case *ast.SequenceNode:
+		for i, v := range o.Values {
+			inner := fmt.Sprintf("%s[%d]", field, i)
+			visit(inner, v)
+			walkNode(inner, v, visit)
+		}
+	case *ast.TagNode:
+		walkNode(field, o.Value, visit)
+	case *ast.AnchorNode:
+		walkNode(field, o.Value, visit)
+	default:
+		if n != nil && n.GetToken() != nil {
+			visit(field, n)
+		}
+	}
+}
