Add the submission of configurations under compare-and-swap

Cause: operators change the configuration concurrently, and the platform loses responses after a write took effect.

Change: Store with Load and Submit, the envelope with the last 64 submit ids, and the outcomes Accepted, Conflict and Unknown. Lost responses are resolved by reading back until the context ends. Request.Resubmitted tells that an earlier attempt ended as Unknown, so that a base older than the history gives Unknown again. Compressors are reused: one takes about 800 KB.

Ruled out: telling Conflict whenever the id is not found.

--- a/config/encode.go
+++ b/config/encode.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
@@ -21,15 +22,24 @@
 // maxDecoded bounds the memory that a damaged or hostile value can take.
 const maxDecoded = 16 << 20
 
+// writers keeps compressors, each of which takes about 800 KB, for reuse.
+var writers = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
+
 // Encode writes a document, or a value that holds one, in the stored form:
 // compressed JSON. Uncompressed, the document of the largest planned fleet
 // would exceed MaxValue.
 func Encode(v any) ([]byte, error) {
-	var b bytes.Buffer
-	z := gzip.NewWriter(&b)
-	if err := json.NewEncoder(z).Encode(v); err != nil {
+	text, err := json.Marshal(v)
+	if err != nil {
 		return nil, fmt.Errorf("encode: %w", err)
 	}
+	var b bytes.Buffer
+	z := writers.Get().(*gzip.Writer)
+	defer writers.Put(z)
+	z.Reset(&b)
+	if _, err := z.Write(text); err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
 	if err := z.Close(); err != nil {
 		return nil, fmt.Errorf("compress: %w", err)
 	}
--- /dev/null
+++ b/submission/envelope.go
@@ -0,0 +1,89 @@
+// Package submission stores the configuration in the platform's key-value
+// service, where each accepted version is written exactly once.
+package submission
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"rattanline.example/rattanline/config"
+)
+
+// Key is where the configuration is stored.
+const Key = "rattanline/config"
+
+// historyLength is the number of submit ids that the envelope remembers. A lost
+// response can be resolved until so many later versions have been accepted.
+const historyLength = 64
+
+// Envelope is the stored value: the document with how it came to be.
+type Envelope struct {
+	Version  uint64          `json:"version"`
+	Author   string          `json:"author"`
+	Time     time.Time       `json:"time"`
+	Document config.Document `json:"document"`
+	// Submits are the last accepted ones, oldest first.
+	Submits []Submit `json:"submits"`
+}
+
+// Submit is the record of one accepted submit.
+type Submit struct {
+	ID      string `json:"id"`
+	Version uint64 `json:"version"`
+}
+
+// find returns the version that the submit with the id was accepted as.
+func (e Envelope) find(id string) (uint64, bool) {
+	for _, s := range e.Submits {
+		if s.ID == id {
+			return s.Version, true
+		}
+	}
+	return 0, false
+}
+
+// forgot tells whether a submit on the base version may have been accepted and
+// left the history since.
+func (e Envelope) forgot(base uint64) bool {
+	return e.Version > base && !slices.ContainsFunc(e.Submits, func(s Submit) bool { return s.Version == base+1 })
+}
+
+// next returns the envelope after the request is accepted.
+func (e Envelope) next(r Request, now time.Time) Envelope {
+	version := e.Version + 1
+	submits := append(slices.Clone(e.Submits), Submit{ID: r.ID, Version: version})
+	return Envelope{
+		Version:  version,
+		Author:   r.Author,
+		Time:     now,
+		Document: r.Document.WithVersion(version),
+		Submits:  submits[max(len(submits)-historyLength, 0):],
+	}
+}
+
+func (e Envelope) encode() ([]byte, error) {
+	data, err := config.Encode(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode envelope: %w", err)
+	}
+	if len(data) > config.MaxValue {
+		return nil, fmt.Errorf("the envelope has %d bytes, at most %d are allowed", len(data), config.MaxValue)
+	}
+	return data, nil
+}
+
+// DecodeEnvelope reads a stored value.
+func DecodeEnvelope(value []byte) (Envelope, error) {
+	var e Envelope
+	if err := config.Decode(value, &e); err != nil {
+		return Envelope{}, fmt.Errorf("decode envelope: %w", err)
+	}
+	return e, nil
+}
+
+// Decode reads the document, with its version, from a stored value.
+func Decode(value []byte) (config.Document, error) {
+	e, err := DecodeEnvelope(value)
+	return e.Document, err
+}
--- /dev/null
+++ b/submission/store.go
@@ -0,0 +1,132 @@
+package submission
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/port"
+)
+
+// Store reads and writes the configuration.
+type Store struct{ KeyValue port.KeyValue }
+
+// Load returns the current document, of version 0 if there is none yet, and the
+// revision at which it was stored.
+func (s *Store) Load(ctx context.Context) (config.Document, int64, error) {
+	entry, err := s.KeyValue.Get(ctx, Key)
+	if err != nil {
+		return config.Document{}, 0, fmt.Errorf("read configuration: %w", err)
+	}
+	e, err := decodeEntry(entry)
+	if err != nil {
+		return config.Document{}, 0, fmt.Errorf("read configuration: %w", err)
+	}
+	return e.Document, entry.Revision, nil
+}
+
+func decodeEntry(e port.Entry) (Envelope, error) {
+	if e.Revision == 0 {
+		return Envelope{}, nil
+	}
+	return DecodeEnvelope(e.Value)
+}
+
+// Submit stores the document if its base is the current version. It resolves
+// lost responses by reading back, until the context ends; give it a deadline.
+// An error means that this call stored nothing.
+func (s *Store) Submit(ctx context.Context, r Request) (Outcome, error) {
+	if r.ID == "" {
+		return nil, errors.New("submit: an id is required")
+	}
+	if err := r.Document.Validate(); err != nil {
+		return nil, fmt.Errorf("submit: %w", err)
+	}
+	a := attempt{store: s, request: r, uncertain: r.Resubmitted}
+	outcome, err := backoff.Retry(ctx, func() (Outcome, error) { return a.try(ctx) },
+		backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
+	switch {
+	case err == nil:
+		return outcome, nil
+	case a.uncertain:
+		return Unknown{}, nil
+	default:
+		return nil, fmt.Errorf("submit: %w", err)
+	}
+}
+
+// newBackOff starts near the response time of the platform and stays below the
+// time in which an operator expects an answer. The jitter keeps operators that
+// submit concurrently from colliding again.
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 20 * time.Millisecond
+	b.MaxInterval = 2 * time.Second
+	b.RandomizationFactor = 0.5
+	return b
+}
+
+// attempt is the state of one call of Submit over its tries.
+type attempt struct {
+	store   *Store
+	request Request
+	// uncertain is set while an earlier write may still take effect or may have
+	// taken effect unnoticed.
+	uncertain bool
+}
+
+// try reads the current version and, if it is the base, writes once. A returned
+// error is retried.
+func (a *attempt) try(ctx context.Context) (Outcome, error) {
+	entry, err := a.store.KeyValue.Get(ctx, Key)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	e, err := decodeEntry(entry)
+	if err != nil {
+		// Reading again can't repair the value.
+		return nil, backoff.Permanent(fmt.Errorf("read configuration: %w", err))
+	}
+	if version, ok := e.find(a.request.ID); ok {
+		return Accepted{Version: version}, nil
+	}
+	if e.Version != a.request.Base {
+		if a.uncertain && e.forgot(a.request.Base) {
+			return Unknown{}, nil
+		}
+		// All writes of this id require the revision of the base version, so
+		// none that is still on its way can take effect any more.
+		return Conflict{
+			Current: e.Document,
+			Diff:    config.Diff(e.Document, a.request.Document),
+		}, nil
+	}
+	return a.write(ctx, e, entry.Revision)
+}
+
+func (a *attempt) write(ctx context.Context, e Envelope, revision int64) (Outcome, error) {
+	next := e.next(a.request, time.Now().UTC())
+	value, err := next.encode()
+	if err != nil {
+		return nil, backoff.Permanent(err)
+	}
+	result, err := a.store.KeyValue.Commit(ctx, port.Transaction{
+		Conditions: []port.Condition{{Key: Key, Revision: revision}},
+		Writes:     []port.Write{{Key: Key, Value: value}},
+	})
+	switch {
+	case errors.Is(err, port.ErrUnavailable):
+		return nil, fmt.Errorf("write configuration: %w", err)
+	case err != nil:
+		// Errors that don't exclude an effect are treated like a lost response.
+		a.uncertain = true
+		return nil, fmt.Errorf("write configuration: %w", err)
+	case !result.Committed:
+		return nil, errors.New("write configuration: changed by another submit")
+	}
+	return Accepted{Version: next.Version}, nil
+}
