Add the owner and the holder of slots

Cause: daemons must share the slots of a target without a message per request and without ever exceeding its limit when messages are lost or reordered.

Change: slot.Owner grants, recalls, adopts and expires slots; slot.Holder keeps them under a lease counted from the send time of the last answered renewal.

Ruled out: freeing a slot that a renewal doesn't list. A renewal that crosses a grant would free a slot that is about to be used.

--- /dev/null
+++ b/slot/demand.go
@@ -0,0 +1,73 @@
+package slot
+
+import (
+	"time"
+
+	"rattanline.example/rattanline/usage"
+)
+
+// Many is the number of times a demand lists an account that has at least so
+// many requests waiting. Below it the owner grants no more slots than are
+// listed; at Many it doesn't count, so a long queue needs no further messages.
+const Many = 4
+
+// holder is what an owner knows of one daemon run.
+type holder struct {
+	source   usage.Source
+	address  string
+	sequence uint64
+	seen     time.Time
+	demands  map[string]map[string]int // by service and account
+	told     map[string]TargetState
+}
+
+func (h *holder) setDemands(demands []Demand) {
+	h.demands = make(map[string]map[string]int, len(demands))
+	for _, d := range demands {
+		accounts := make(map[string]int, len(d.Accounts))
+		for _, account := range d.Accounts {
+			accounts[account]++
+		}
+		h.demands[d.Service] = accounts
+	}
+}
+
+// consume counts one granted slot against the account's demand.
+func (h *holder) consume(service, account string) {
+	accounts := h.demands[service]
+	switch n := accounts[account]; {
+	case n >= Many:
+	case n > 1:
+		accounts[account] = n - 1
+	default:
+		delete(accounts, account)
+	}
+}
+
+// charge is the expected cost of a grant that no exchange shows yet.
+type charge struct {
+	queue usage.Queue
+	cost  float64
+	until time.Time
+}
+
+// charges are ordered by the time they end.
+type charges []charge
+
+func (c charges) sum(q usage.Queue) float64 {
+	sum := 0.0
+	for _, e := range c {
+		// Service received counts for all services of an account.
+		if e.queue.Account == q.Account {
+			sum += e.cost
+		}
+	}
+	return sum
+}
+
+func (c charges) current(now time.Time) charges {
+	for len(c) > 0 && !now.Before(c[0].until) {
+		c = c[1:]
+	}
+	return c
+}
--- /dev/null
+++ b/slot/limit.go
@@ -0,0 +1,34 @@
+package slot
+
+import (
+	"time"
+
+	"rattanline.example/rattanline/limit"
+)
+
+// Limit is the concurrency limit of one target. limit.Controller implements it.
+type Limit interface {
+	Limit() int
+	Ramping() bool
+	Ejected(now time.Time) bool
+	Observe(now time.Time, o limit.Observation)
+	Report(now time.Time, l limit.Load)
+	Adopt(incarnation string, limit int, ramping bool)
+	Incarnation() string
+}
+
+// Times are the durations that owner and holder must agree on.
+type Times struct {
+	// SlotLease is how long a holder may start requests on a slot after it sent
+	// the last acknowledged renewal.
+	SlotLease time.Duration
+	// OwnerLease is how long a daemon may act as owner without a heartbeat.
+	OwnerLease time.Duration
+	// OrphanTime is how long slots of a silent holder count as in use.
+	OrphanTime time.Duration
+	// LongestRequest replaces OrphanTime while a target ramps up.
+	LongestRequest time.Duration
+	// ChargeTime is how long the owner adds the expected cost of a grant to an
+	// account: until the exchange shows it.
+	ChargeTime time.Duration
+}
--- /dev/null
+++ b/slot/owned.go
@@ -0,0 +1,151 @@
+package slot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/limit"
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/usage"
+)
+
+// granted is a slot in use, as its owner knows it.
+type granted struct {
+	slot     Slot
+	holder   usage.Source
+	busy     bool
+	recalled bool
+}
+
+// owned is a target of this daemon.
+type owned struct {
+	target config.Target
+	closed bool // gets no new work
+	limit  Limit
+	slots  map[Slot]*granted
+	// adopting ends when no slot of a former owner can be unreported.
+	adopting time.Time
+	adopted  bool // whether a former owner's limit has been taken over
+	// peak is the largest number of slots since the last load report, reported
+	// is the number of requests that report showed beyond them.
+	peak     int
+	reported int
+	// suspect is set by a crash until a load report shows which incarnation
+	// runs, since a restarted target is cold.
+	suspect bool
+}
+
+func newOwned(t config.Target, l Limit, adopting time.Time) *owned {
+	return &owned{target: t, limit: l, slots: map[Slot]*granted{}, adopting: adopting}
+}
+
+// allowed returns how many slots may exist under the share of the limit.
+func (t *owned) allowed(now time.Time, share member.Share) int {
+	if t.closed {
+		return 0
+	}
+	total := t.limit.Limit()
+	allowed := min(share.Limit(total), total-t.reported)
+	if t.suspect {
+		allowed = min(allowed, t.target.ColdLimit)
+	}
+	if t.limit.Ejected(now) {
+		allowed = min(allowed, 1)
+	}
+	return max(allowed, 0)
+}
+
+// free returns how many slots may be granted now. While adopting, slots that
+// holders reported may be replaced but their number doesn't grow.
+func (t *owned) free(now time.Time, share member.Share) int {
+	allowed := t.allowed(now, share)
+	if now.Before(t.adopting) {
+		allowed = min(allowed, t.peak)
+	}
+	return allowed - len(t.slots)
+}
+
+func (t *owned) add(g *granted) {
+	t.slots[g.slot] = g
+	t.peak = max(t.peak, len(t.slots))
+}
+
+// report takes a load report. It lags, so requests count as unknown only beyond
+// the largest number of slots that existed since the last report.
+func (t *owned) report(now time.Time, l limit.Load) {
+	t.limit.Report(now, l)
+	t.suspect = false
+	t.reported = max(0, l.Running+l.Queued-t.peak)
+	if !now.Before(t.adopting) {
+		t.peak = len(t.slots)
+	}
+}
+
+func (t *owned) observe(now time.Time, o limit.Observation) {
+	t.suspect = t.suspect || o.Crashes > 0
+	t.limit.Observe(now, o)
+}
+
+// adopt takes over the limit that holders learned from a former owner. The
+// lowest reported one wins, since a higher one may be older.
+func (t *owned) adopt(s TargetState) {
+	if s.Limit <= 0 || t.adopted && s.Limit >= t.limit.Limit() {
+		return
+	}
+	t.adopted = true
+	t.limit.Adopt(s.Incarnation, s.Limit, s.Ramping)
+}
+
+func (t *owned) state() TargetState {
+	return TargetState{
+		Target: t.target.Name, Incarnation: t.limit.Incarnation(),
+		Limit: t.limit.Limit(), Ramping: t.limit.Ramping(),
+	}
+}
+
+// excess marks and returns the slots to recall until no more than the allowed
+// number remain: idle ones first, then the newest.
+func (t *owned) excess(allowed int) []*granted {
+	remaining := t.kept(func(*granted) bool { return true })
+	if len(remaining) <= allowed {
+		return nil
+	}
+	return recall(remaining, len(remaining)-allowed)
+}
+
+// kept returns the matching slots that are not recalled.
+func (t *owned) kept(match func(*granted) bool) []*granted {
+	var kept []*granted
+	for _, g := range t.slots {
+		if !g.recalled && match(g) {
+			kept = append(kept, g)
+		}
+	}
+	return kept
+}
+
+func recall(slots []*granted, count int) []*granted {
+	slices.SortFunc(slots, func(x, y *granted) int {
+		if x.busy != y.busy {
+			if x.busy {
+				return 1
+			}
+			return -1
+		}
+		return -compareSlots(x.slot, y.slot)
+	})
+	slots = slots[:min(count, len(slots))]
+	for _, g := range slots {
+		g.recalled = true
+	}
+	return slots
+}
+
+func compareSlots(x, y Slot) int {
+	return cmp.Or(
+		cmp.Compare(x.Number, y.Number), cmp.Compare(x.Target, y.Target),
+		cmp.Compare(x.Owner.Daemon, y.Owner.Daemon), cmp.Compare(x.Owner.Incarnation, y.Owner.Incarnation),
+	)
+}
