Add the dispatcher and a simulated fleet to run it in

Cause: queues, slots and links must work together in one daemon, and a change of policy can only be judged on a fleet.

Change: package dispatch implements port.Scheduler with queueing, charging, renewals, grants, observations, drain and metrics. Package measure has an in-memory link with delay, retransmission and byte counts, simulated targets, an exchange through usage.Aggregate, and a meter of the work that targets did.

Ruled out: a renewal for each change of queue length.

--- /dev/null
+++ b/dispatch/assignment.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/slot"
+	"rattanline.example/rattanline/usage"
+)
+
+// assignment implements port.Assignment.
+type assignment struct {
+	d        *Dispatcher
+	job      port.Job
+	slot     slot.Slot
+	target   config.Target
+	charged  float64
+	finished bool
+}
+
+// Target implements port.Assignment.
+func (a *assignment) Target() config.Target { return a.target }
+
+// Charge implements port.Assignment. The estimate was charged at the start, so
+// only cost beyond it is added while the response streams.
+func (a *assignment) Charge(cost float64) {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	if cost > a.charged && !a.finished {
+		a.d.Ledger.Charge(a.job.Account, cost-a.charged)
+		a.charged = cost
+	}
+}
+
+// Finish implements port.Assignment.
+func (a *assignment) Finish(t port.Attempt) {
+	d := a.d
+	now := d.lock()
+	defer d.mu.Unlock()
+	if a.finished {
+		return
+	}
+	a.finished = true
+	d.running--
+	d.Ledger.Charge(a.job.Account, t.Cost-a.charged)
+	if t.Result == port.Succeeded {
+		q := usage.Queue{Service: a.job.Service, Account: a.job.Account}
+		d.costs.learn(q, a.job.Cost, t.Cost)
+	}
+	d.observeEnd(a.target.Name, t)
+	d.record("request-ended", a.job.RequestID, a.job.Account, a.target.Name, string(t.Result))
+	d.holder.End(now, a.slot)
+	d.keepOrReturn(now, a.slot, a.job.Service)
+	d.assign(now, a.job.Service)
+	d.settle(now)
+}
--- /dev/null
+++ b/dispatch/holder.go
@@ -0,0 +1,282 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"rattanline.example/rattanline/limit"
+	"rattanline.example/rattanline/slot"
+	"rattanline.example/rattanline/usage"
+)
+
+// retryGap is the least time between renewals after one failed, so an owner
+// that is gone isn't called for each change.
+const retryGap = 250 * time.Millisecond
+
+// maxSettle bounds the exchanges between the owner and the holder of the same
+// process in one call; what remains is done at the next tick.
+const maxSettle = 8
+
+// peer is what this daemon sent to one owner.
+type peer struct {
+	demands map[string]map[string]int // by service and account
+	sent    time.Time
+	notSoon time.Time // after a failure
+	granted bool      // slots came since the demand was sent
+	timer   *time.Timer
+}
+
+// keepOrReturn decides about a slot whose request ended: it is kept while the
+// waiting account with the lowest counter is at most the slack above the floor.
+// Without waiting requests anywhere it is kept for the idle time.
+func (d *Dispatcher) keepOrReturn(now time.Time, s slot.Slot, service string) {
+	if d.stopping || d.index.closed[s.Target] || !d.mayKeep(service) {
+		d.returnSlot(now, s)
+	}
+}
+
+func (d *Dispatcher) mayKeep(service string) bool {
+	floor, elsewhere := d.Ledger.Floor(service)
+	if !elsewhere {
+		return true
+	}
+	lowest, waiting := d.queues.Lowest(service)
+	return waiting && lowest <= floor+d.Times.Slack*d.costs.mean(service)
+}
+
+func (d *Dispatcher) returnSlot(now time.Time, s slot.Slot) {
+	d.holder.Return(now, s)
+	d.metric.returned.Inc()
+	d.record("slot-returned", "", "", s.Target, "")
+	d.dirty = true
+}
+
+// returnUnneeded returns idle slots of closed targets at once, and those of
+// services without waiting requests after the idle time, or at once when others
+// wait.
+func (d *Dispatcher) returnUnneeded(now time.Time) {
+	for _, target := range d.holder.Targets() {
+		t, known := d.index.targets[target]
+		after := d.Times.IdleTime
+		switch {
+		case !known || d.index.closed[target] || d.stopping:
+			after = 0
+		case len(d.queues.Accounts(t.Service)) > 0:
+			continue
+		default:
+			if _, elsewhere := d.Ledger.Floor(t.Service); elsewhere {
+				after = d.Times.MinRenewGap
+			}
+		}
+		if n := d.holder.ReturnIdle(now, target, after); n > 0 {
+			d.metric.returned.Add(n)
+			d.dirty = true
+		}
+	}
+}
+
+// settle sends what has changed: renewals to owners and pushes to holders. The
+// owner in this process answers at once, which may lead to further changes.
+func (d *Dispatcher) settle(now time.Time) {
+	for range maxSettle {
+		if d.dirty {
+			d.dirty = false
+			d.flush(now)
+		}
+		d.push(now)
+		if !d.dirty {
+			return
+		}
+	}
+}
+
+// flush renews with each owner that lacks something.
+func (d *Dispatcher) flush(now time.Time) {
+	returns := map[usage.Source]bool{}
+	for _, source := range d.holder.Owners() {
+		returns[source] = true
+	}
+	demands := map[usage.Source]map[string]map[string]int{}
+	for _, name := range d.queues.Services() {
+		s := d.index.services[name]
+		if s == nil || d.stopping {
+			continue
+		}
+		accounts := map[string]int{}
+		for _, account := range d.queues.Accounts(name) {
+			accounts[account] = min(d.queues.Waiting(name, account), slot.Many)
+		}
+		for _, source := range s.owners {
+			if demands[source] == nil {
+				demands[source] = map[string]map[string]int{}
+			}
+			demands[source][name] = accounts
+		}
+	}
+	for source := range d.index.address {
+		if d.peers[source] == nil && (returns[source] || demands[source] != nil) {
+			d.peers[source] = &peer{}
+		}
+	}
+	for source, p := range d.peers {
+		if _, member := d.index.address[source]; !member {
+			delete(d.peers, source)
+			continue
+		}
+		d.renewIfNeeded(now, source, p, demands[source], returns[source])
+	}
+}
+
+func (d *Dispatcher) renewIfNeeded(now time.Time, source usage.Source, p *peer, demands map[string]map[string]int, holds bool) {
+	urgent := d.urgentFor(source)
+	changed := urgent || d.holder.Unsent(source) || p.lacks(demands)
+	periodic := now.Sub(p.sent) >= d.Times.RenewInterval && (holds || len(demands) > 0 || len(p.demands) > 0)
+	if !changed && !periodic {
+		return
+	}
+	earliest := p.sent.Add(d.Times.MinRenewGap)
+	if urgent {
+		earliest = p.sent
+	}
+	if p.notSoon.After(earliest) {
+		earliest = p.notSoon
+	}
+	if wait := earliest.Sub(now); wait > 0 && source != d.Self {
+		d.wakeAfter(p, wait)
+		return
+	}
+	d.renew(now, source, p, demands)
+}
+
+// wakeAfter flushes again when the next renewal to the owner is allowed.
+func (d *Dispatcher) wakeAfter(p *peer, wait time.Duration) {
+	if p.timer != nil {
+		return
+	}
+	p.timer = time.AfterFunc(wait, func() {
+		now := d.lock()
+		defer d.mu.Unlock()
+		p.timer = nil
+		d.dirty = true
+		d.settle(now)
+	})
+}
+
+// lacks tells whether the owner must learn of the present demand: an account
+// started or stopped waiting, or waits for more slots than the owner knows.
+// A smaller number is not worth a message; the next renewal carries it.
+func (p *peer) lacks(demands map[string]map[string]int) bool {
+	for name, accounts := range demands {
+		for account, n := range accounts {
+			known := p.demands[name][account]
+			if n > known || p.granted && known < slot.Many {
+				return true
+			}
+		}
+	}
+	for name, accounts := range p.demands {
+		for account := range accounts {
+			if demands[name][account] == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) renew(now time.Time, source usage.Source, p *peer, demands map[string]map[string]int) {
+	r := d.holder.Renewal(source)
+	for _, name := range d.queues.Services() {
+		accounts, ok := demands[name]
+		if !ok {
+			continue
+		}
+		demand := slot.Demand{Service: name}
+		for _, account := range d.queues.Accounts(name) {
+			for range accounts[account] {
+				demand.Accounts = append(demand.Accounts, account)
+			}
+		}
+		r.Demands = append(r.Demands, demand)
+	}
+	r.Observations = d.takeObservations(source)
+	p.demands, p.sent, p.granted = demands, now, false
+	d.metric.renewals.Inc()
+	if source == d.Self {
+		reply, err := d.serve(now, r)
+		d.answer(now, source, r, now, reply, err)
+		return
+	}
+	d.send(source, r, now)
+}
+
+// send calls a remote owner.
+func (d *Dispatcher) send(source usage.Source, r slot.Renewal, sent time.Time) {
+	address, base := d.index.address[source], d.context
+	d.sends.Go(func() {
+		ctx, cancel := context.WithTimeout(base, d.Times.SlotLease)
+		defer cancel()
+		var reply slot.RenewalReply
+		err := d.Link.Call(ctx, address, "Owner.Renew", r, &reply)
+		now := d.lock()
+		defer d.mu.Unlock()
+		d.answer(now, source, r, sent, reply, err)
+		d.settle(now)
+	})
+}
+
+func (d *Dispatcher) answer(now time.Time, source usage.Source, r slot.Renewal, sent time.Time, reply slot.RenewalReply, err error) {
+	p := d.peers[source]
+	if err != nil {
+		d.metric.failures.Inc()
+		d.restore(r.Observations)
+		if p != nil {
+			// The owner may lack this demand; it is sent again.
+			p.notSoon = now.Add(retryGap)
+			p.demands = nil
+		}
+		return
+	}
+	d.holder.Reply(now, source, r, sent, reply)
+	d.received(now, source, reply.Granted)
+}
+
+// received uses new slots, and notes that the owner's record of the demand has
+// been used up.
+func (d *Dispatcher) received(now time.Time, source usage.Source, slots []slot.Slot) {
+	if len(slots) > 0 {
+		d.metric.received.Add(len(slots))
+		if p := d.peers[source]; p != nil {
+			p.granted = true
+		}
+	}
+	d.assignAll(now)
+	if d.holder.Unsent(source) || len(slots) > 0 {
+		d.dirty = true
+	}
+}
+
+// takeObservations removes the observations of targets of the owner.
+func (d *Dispatcher) takeObservations(source usage.Source) map[string]limit.Observation {
+	var taken map[string]limit.Observation
+	for target, o := range d.observed {
+		if owner, ok := d.index.owner(target); !ok || owner != source {
+			continue
+		}
+		if taken == nil {
+			taken = map[string]limit.Observation{}
+		}
+		taken[target] = o.message()
+		delete(d.observed, target)
+	}
+	return taken
+}
+
+func (d *Dispatcher) urgentFor(source usage.Source) bool {
+	for target, o := range d.observed {
+		if owner, ok := d.index.owner(target); ok && owner == source && o.urgent {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dispatch/index.go
@@ -0,0 +1,183 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/fairqueue"
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/request"
+	"rattanline.example/rattanline/usage"
+)
+
+// Bounds of accounts for which the configuration sets none.
+const (
+	defaultMaxQueued      = 256
+	defaultMaxQueuedBytes = 16 << 20
+)
+
+// hostListInterval is how often the index is rebuilt without a change of
+// configuration or members, because the host list has no version.
+const hostListInterval = 500 * time.Millisecond
+
+// index is the configuration and the members arranged for look-ups. It is
+// replaced when either changes.
+type index struct {
+	key      string
+	built    time.Time
+	targets  map[string]config.Target
+	closed   map[string]bool
+	owners   map[string]usage.Source // by target
+	address  map[usage.Source]string
+	services map[string]*service
+	accounts map[string]fairqueue.Bounds
+	owned    []config.Target
+}
+
+// service is what the dispatcher must know of one service.
+type service struct {
+	targets []string // open ones
+	drained bool     // all targets are closed and some by a drain
+	owners  []usage.Source
+}
+
+func (x *index) owner(target string) (usage.Source, bool) {
+	source, ok := x.owners[target]
+	return source, ok
+}
+
+// refresh rebuilds the index if needed, and tells the owner its authority.
+func (d *Dispatcher) refresh(now time.Time) {
+	document, view := d.Configuration(), d.View()
+	if key := indexKey(document, view); key != d.index.key || now.Sub(d.index.built) >= hostListInterval {
+		d.index = d.buildIndex(now, key, document, view)
+		d.dirty = true
+		d.refuseUnservable()
+	}
+	share, valid := d.Authority(now)
+	d.owner.Authorize(now, share, valid)
+	d.owner.Own(now, d.index.owned, func(t config.Target) bool { return d.index.closed[t.Name] })
+}
+
+func indexKey(document config.Document, view member.View) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d", document.Version)
+	for _, domain := range view.Domains() {
+		fmt.Fprintf(&b, " %s %v", domain, view.Tables[domain].Epoch)
+	}
+	return b.String()
+}
+
+func (d *Dispatcher) buildIndex(now time.Time, key string, document config.Document, view member.View) *index {
+	x := &index{
+		key: key, built: now,
+		targets: map[string]config.Target{}, closed: map[string]bool{},
+		owners: map[string]usage.Source{}, address: map[usage.Source]string{},
+		services: map[string]*service{}, accounts: map[string]fairqueue.Bounds{},
+	}
+	for _, a := range document.Accounts {
+		x.accounts[a.Name] = bounds(a)
+	}
+	drained := map[string]bool{}
+	for _, f := range document.FailureDomains {
+		drained[f.Name] = f.Drained
+	}
+	for _, s := range document.Services {
+		x.services[s.Name] = &service{}
+	}
+	local, remote := map[string]map[usage.Source]bool{}, map[string]map[usage.Source]bool{}
+	for _, t := range document.Targets {
+		x.targets[t.Name] = t
+		leaving := d.HostLeaving != nil && t.Host != "" && d.HostLeaving(t.Host)
+		x.closed[t.Name] = t.Leaving || drained[t.FailureDomain] || leaving
+		s := x.services[t.Service]
+		if s == nil {
+			s = &service{}
+			x.services[t.Service] = s
+		}
+		if x.closed[t.Name] {
+			s.drained = s.drained || drained[t.FailureDomain]
+		} else {
+			s.targets = append(s.targets, t.Name)
+		}
+		m, ok := view.Owner(t.Name, t.FailureDomain)
+		if !ok {
+			continue
+		}
+		source := usage.Source{Daemon: m.Name, Incarnation: m.Incarnation}
+		x.owners[t.Name] = source
+		x.address[source] = m.LinkAddress
+		if source == d.Self {
+			x.owned = append(x.owned, t)
+		}
+		if !x.closed[t.Name] {
+			side := remote
+			if m.Domain == d.Domain {
+				side = local
+			}
+			if side[t.Service] == nil {
+				side[t.Service] = map[usage.Source]bool{}
+			}
+			side[t.Service][source] = true
+		}
+	}
+	for name, s := range x.services {
+		s.drained = s.drained && len(s.targets) == 0
+		s.owners = append(d.rank(local[name]), d.rank(remote[name])...)
+		s.owners = s.owners[:min(len(s.owners), d.Times.DemandFanOut)]
+	}
+	return x
+}
+
+// rank orders owners differently at each daemon, so that the demand of all
+// daemons doesn't go to the same few.
+func (d *Dispatcher) rank(sources map[usage.Source]bool) []usage.Source {
+	members := make([]member.Member, 0, len(sources))
+	for s := range sources {
+		members = append(members, member.Member{Name: s.Daemon, Incarnation: s.Incarnation})
+	}
+	var ranked []usage.Source
+	for _, m := range member.Rank(d.Self.Daemon, members) {
+		ranked = append(ranked, usage.Source{Daemon: m.Name, Incarnation: m.Incarnation})
+	}
+	return ranked
+}
+
+func bounds(a config.Account) fairqueue.Bounds {
+	b := fairqueue.Bounds{Requests: a.MaxQueued, Bytes: a.MaxQueuedBytes}
+	if b.Requests == 0 {
+		b.Requests = defaultMaxQueued
+	}
+	if b.Bytes == 0 {
+		b.Bytes = defaultMaxQueuedBytes
+	}
+	return b
+}
+
+// unservable returns why no target may serve the service, or nil.
+func (x *index) unservable(name string) *request.Refusal {
+	s := x.services[name]
+	switch {
+	case s == nil:
+		return &request.Refusal{Reason: request.UnknownService, Detail: name}
+	case len(s.targets) > 0:
+		return nil
+	case s.drained:
+		return &request.Refusal{Reason: request.Drained, Detail: "all targets of " + name, RetryAfter: 10 * time.Second}
+	default:
+		return &request.Refusal{Reason: request.NoTarget, Detail: name, RetryAfter: 10 * time.Second}
+	}
+}
+
+// avoidable returns the targets to avoid, unless no other target remains.
+func (x *index) avoidable(name string, avoid []string) []string {
+	for _, t := range x.services[name].targets {
+		if !slices.Contains(avoid, t) {
+			return avoid
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/measure/client.go
@@ -0,0 +1,79 @@
+package measure
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rattanline.example/rattanline/port"
+)
+
+// Client sends requests of one account to one daemon.
+type Client struct {
+	Fleet   *Fleet
+	Meter   *Meter
+	Daemon  string
+	Account string
+	Service string
+	// Unit is the time that a target takes for a cost of one.
+	Unit time.Duration
+	// Cost returns the cost of the next request, Hint what the caller says of
+	// it; nil means the truth.
+	Cost func() float64
+	Hint func(cost float64) float64
+
+	mu sync.Mutex
+}
+
+// Keep holds the number of requests outstanding until the context ends.
+func (c *Client) Keep(ctx context.Context, outstanding int) {
+	var wait sync.WaitGroup
+	for range outstanding {
+		wait.Go(func() {
+			for ctx.Err() == nil {
+				if c.Do(ctx, c.cost()) != nil {
+					pause(ctx, 50*time.Millisecond)
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (c *Client) cost() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Cost()
+}
+
+// Do sends one request and waits until it has ended.
+func (c *Client) Do(ctx context.Context, cost float64) error {
+	n := c.Fleet.Node(c.Daemon)
+	if n == nil {
+		return ErrUnreachable
+	}
+	hint := cost
+	if c.Hint != nil {
+		hint = c.Hint(cost)
+	}
+	arrived := time.Now()
+	a, err := n.Dispatcher.Acquire(ctx, port.Job{Account: c.Account, Service: c.Service, Cost: hint})
+	if err != nil {
+		return err
+	}
+	w := &work{account: c.Account, begin: time.Now(), duration: time.Duration(cost * float64(c.Unit)), cost: cost}
+	c.Meter.start(w, w.begin.Sub(arrived))
+	ended := c.Fleet.Engine(a.Target().Name).Run(ctx, w.duration, cost, func(part float64) { a.Charge(cost * part) })
+	c.Meter.end(w, time.Now())
+	a.Finish(ended)
+	return nil
+}
--- /dev/null
+++ b/measure/fleet.go
@@ -0,0 +1,235 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/dispatch"
+	"rattanline.example/rattanline/limit"
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/slot"
+	"rattanline.example/rattanline/usage"
+)
+
+// Fleet is a set of daemons with an exchange of usage through one coordinator
+// in each failure domain. The exported fields are set before Start.
+type Fleet struct {
+	Document config.Document
+	Network  *Network
+	Domains  []string
+	Daemons  int // in all domains
+	Times    dispatch.Times
+	Warm     time.Duration // see FixedLimit
+	// Isolated turns off the exchange of usage.
+	Isolated bool
+
+	mu       sync.Mutex
+	document config.Document
+	view     member.View
+	epoch    int64
+	nodes    map[string]*Node
+	engines  map[string]*Engine
+	// shares are the parts of the limits that owners may grant, by daemon.
+	shares  map[string]member.Share
+	invalid map[string]bool
+	wait    sync.WaitGroup
+}
+
+// Node is one daemon of the fleet.
+type Node struct {
+	Member     member.Member
+	Dispatcher *dispatch.Dispatcher
+	Ledger     *usage.Ledger
+
+	fleet     *Fleet
+	endpoint  *Endpoint
+	self      usage.Source
+	aggregate *usage.Aggregate // of the domain's coordinator
+	stop      context.CancelFunc
+}
+
+// Start runs all daemons until the context ends.
+func (f *Fleet) Start(ctx context.Context) {
+	f.document = f.Document
+	f.nodes, f.engines = map[string]*Node{}, map[string]*Engine{}
+	f.shares, f.invalid = map[string]member.Share{}, map[string]bool{}
+	for _, t := range f.Document.Targets {
+		f.engines[t.Name] = NewEngine(t)
+	}
+	for i := range f.Daemons {
+		domain := f.Domains[i%len(f.Domains)]
+		f.add(member.Member{Name: fmt.Sprintf("daemon-%02d", i), Domain: domain, Incarnation: "1"})
+	}
+	for _, n := range f.Nodes() {
+		n.run(ctx)
+	}
+}
+
+// Wait returns when all daemons have ended.
+func (f *Fleet) Wait() { f.wait.Wait() }
+
+// Launch adds a daemon, or a new incarnation of one, to the running fleet.
+func (f *Fleet) Launch(ctx context.Context, m member.Member) *Node {
+	n := f.add(m)
+	n.run(ctx)
+	return n
+}
+
+func (f *Fleet) add(m member.Member) *Node {
+	m.Host, m.LinkAddress, m.State, m.Counted = m.Name, m.Name, member.Live, true
+	n := &Node{Member: m, fleet: f, self: usage.Source{Daemon: m.Name, Incarnation: m.Incarnation}}
+	n.endpoint = f.Network.Join(m.Name, m.Domain)
+	n.Ledger = usage.NewLedger(n.self, f.share)
+	n.aggregate = usage.NewAggregate(n.self)
+	n.Dispatcher = &dispatch.Dispatcher{
+		Self: n.self, Domain: m.Domain, Address: m.Name, Ledger: n.Ledger, Link: n.endpoint,
+		View:          f.View,
+		Authority:     func(time.Time) (member.Share, bool) { return f.authority(m.Name) },
+		Configuration: f.Configuration,
+		Load:          func(ctx context.Context, t config.Target) (limit.Load, error) { return f.load(ctx, t) },
+		NewLimit: func(t config.Target) dispatch.Limit {
+			return &FixedLimit{Cold: t.ColdLimit, Max: t.MaxLimit, Warm: f.Warm}
+		},
+		Times: f.Times,
+	}
+	n.handle()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[m.Name] = n
+	f.setMember(m)
+	return n
+}
+
+func (f *Fleet) setMember(m member.Member) {
+	f.epoch++
+	t := f.view.Tables[m.Domain].With(m).WithEpoch(member.Epoch{Revision: f.epoch}, "")
+	t.Domain = m.Domain
+	f.view = f.view.WithTable(t)
+}
+
+// SetState changes the state of a daemon in its member table.
+func (f *Fleet) SetState(name string, s member.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, _ := f.view.Find(name)
+	m.State = s
+	f.setMember(m)
+}
+
+// Kill ends a daemon without any message; its requests end with it.
+func (f *Fleet) Kill(name string) {
+	f.Network.Leave(name)
+	f.mu.Lock()
+	n := f.nodes[name]
+	delete(f.nodes, name)
+	f.mu.Unlock()
+	n.stop()
+}
+
+// Node returns the daemon with the name.
+func (f *Fleet) Node(name string) *Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
+}
+
+// Nodes returns the running daemons sorted by name.
+func (f *Fleet) Nodes() []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var nodes []*Node
+	for _, n := range f.nodes {
+		nodes = append(nodes, n)
+	}
+	slices.SortFunc(nodes, func(x, y *Node) int {
+		if x.Member.Name < y.Member.Name {
+			return -1
+		}
+		return 1
+	})
+	return nodes
+}
+
+// Engine returns the simulated target.
+func (f *Fleet) Engine(target string) *Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[target]
+}
+
+// View returns the members, the same at all daemons.
+func (f *Fleet) View() member.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+// Configuration returns the document in force.
+func (f *Fleet) Configuration() config.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.document
+}
+
+// Configure replaces the document.
+func (f *Fleet) Configure(d config.Document) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d.Version = f.document.Version + 1
+	f.document = d
+}
+
+func (f *Fleet) share(account string) float64 {
+	for _, a := range f.Document.Accounts {
+		if a.Name == account {
+			return a.Share
+		}
+	}
+	return 0
+}
+
+// Authorize sets the share of a daemon's targets and whether it may own any.
+func (f *Fleet) Authorize(name string, share member.Share, valid bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shares[name], f.invalid[name] = share, !valid
+}
+
+func (f *Fleet) authority(name string) (member.Share, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shares[name], !f.invalid[name]
+}
+
+func (f *Fleet) load(ctx context.Context, t config.Target) (limit.Load, error) {
+	e := f.Engine(t.Name)
+	if e == nil {
+		return limit.Load{}, errNoEngine
+	}
+	return e.Load(ctx)
+}
+
+func (n *Node) handle() {
+	owner := n.Dispatcher.OwnerReceiver().(*dispatch.OwnerReceiver)
+	holder := n.Dispatcher.HolderReceiver().(*dispatch.HolderReceiver)
+	n.endpoint.Handle("Owner.Renew", func(args, reply any) error {
+		return owner.Renew(args.(slot.Renewal), reply.(*slot.RenewalReply))
+	})
+	n.endpoint.Handle("Holder.Grant", func(args, reply any) error {
+		return holder.Grant(args.(slot.Grant), reply.(*bool))
+	})
+	n.endpoint.Handle("Coordinator.Heartbeat", n.heartbeat)
+	n.endpoint.Handle("Coordinator.Exchange", n.exchange)
+}
+
+func (n *Node) run(ctx context.Context) {
+	ctx, n.stop = context.WithCancel(ctx)
+	n.fleet.wait.Go(func() { _ = n.Dispatcher.Run(ctx) })
+	if !n.fleet.Isolated {
+		n.fleet.wait.Go(func() { n.exchangeLoop(ctx) })
+	}
+}
--- /dev/null
+++ b/measure/target.go
@@ -0,0 +1,179 @@
+package measure
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/limit"
+	"rattanline.example/rattanline/port"
+)
+
+// Engine simulates a target: a request takes the time of its cost.
+type Engine struct {
+	Target config.Target
+
+	mu          sync.Mutex
+	incarnation int
+	running     int
+	peak        int
+	started     time.Time // of the incarnation
+	busy        time.Duration
+	changed     time.Time
+	broken      chan struct{} // closed when the incarnation ends
+}
+
+// NewEngine returns a target that has just started.
+func NewEngine(t config.Target) *Engine {
+	now := time.Now()
+	return &Engine{Target: t, incarnation: 1, started: now, changed: now, broken: make(chan struct{})}
+}
+
+// Run takes the time of one request and returns the attempt's result. The
+// progress function is told the part of the work that is done.
+func (e *Engine) Run(ctx context.Context, duration time.Duration, cost float64, progress func(part float64)) port.Attempt {
+	begin := time.Now()
+	broken, incarnation := e.begin(begin)
+	defer e.end(incarnation)
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	result := port.Succeeded
+	select {
+	case <-timer.C:
+	case <-broken:
+		result = port.Crashed
+	case <-ctx.Done():
+		result = port.Canceled
+	}
+	elapsed := time.Since(begin)
+	part := 1.0
+	if result != port.Succeeded && duration > 0 {
+		part = min(1, float64(elapsed)/float64(duration))
+	}
+	progress(part)
+	return port.Attempt{
+		Result: result, Cost: cost * part, FirstByte: duration / 10, Total: elapsed,
+		Incarnation: strconv.Itoa(incarnation),
+	}
+}
+
+func (e *Engine) begin(now time.Time) (chan struct{}, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.account(now)
+	e.running++
+	e.peak = max(e.peak, e.running)
+	return e.broken, e.incarnation
+}
+
+func (e *Engine) end(incarnation int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if incarnation == e.incarnation {
+		e.account(time.Now())
+		e.running--
+	}
+}
+
+func (e *Engine) account(now time.Time) {
+	e.busy += time.Duration(e.running) * now.Sub(e.changed)
+	e.changed = now
+}
+
+// Restart ends all requests and starts a cold incarnation.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.account(time.Now())
+	close(e.broken)
+	e.broken = make(chan struct{})
+	e.incarnation++
+	e.running, e.peak, e.started = 0, 0, time.Now()
+}
+
+// Running returns the requests in flight and their largest number so far.
+func (e *Engine) Running() (running, peak int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running, e.peak
+}
+
+// Busy returns the sum of the time that requests were in flight.
+func (e *Engine) Busy() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.account(time.Now())
+	return e.busy
+}
+
+// Load reports like GET /load of a target.
+func (e *Engine) Load(context.Context) (limit.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return limit.Load{Running: e.running, Incarnation: strconv.Itoa(e.incarnation)}, nil
+}
+
+// FixedLimit is a limit that only depends on the target's incarnation: the cold
+// limit until Warm has passed since the incarnation was first seen.
+type FixedLimit struct {
+	Cold, Max int
+	Warm      time.Duration
+
+	seen        time.Time
+	now         time.Time
+	incarnation string
+	ramping     bool
+}
+
+// Limit implements slot.Limit.
+func (f *FixedLimit) Limit() int {
+	if f.Ramping() {
+		return f.Cold
+	}
+	return f.Max
+}
+
+// Ramping implements slot.Limit.
+func (f *FixedLimit) Ramping() bool {
+	return f.ramping && f.now.Sub(f.seen) < f.Warm
+}
+
+// Ejected implements slot.Limit.
+func (f *FixedLimit) Ejected(now time.Time) bool {
+	f.now = now
+	return false
+}
+
+// Observe implements slot.Limit.
+func (f *FixedLimit) Observe(now time.Time, o limit.Observation) {
+	f.now = now
+	f.learn(o.Incarnation)
+}
+
+// Report implements slot.Limit.
+func (f *FixedLimit) Report(now time.Time, l limit.Load) {
+	f.now = now
+	f.learn(l.Incarnation)
+}
+
+func (f *FixedLimit) learn(incarnation string) {
+	if incarnation == "" || incarnation == f.incarnation {
+		return
+	}
+	f.ramping = f.incarnation != ""
+	f.incarnation, f.seen = incarnation, f.now
+}
+
+// Adopt implements slot.Limit.
+func (f *FixedLimit) Adopt(incarnation string, _ int, ramping bool) {
+	f.incarnation, f.ramping, f.seen = incarnation, ramping, f.now
+}
+
+// Incarnation implements slot.Limit.
+func (f *FixedLimit) Incarnation() string { return f.incarnation }
+
+var errNoEngine = errors.New("no such target")
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -183,6 +183,18 @@
 	return slices.SortedFunc(maps.Keys(found), compareSources)
 }
 
+// Unsent tells whether the owner was not told of a returned slot yet.
+func (h *Holder) Unsent(source usage.Source) bool {
+	if o := h.owners[source]; o != nil {
+		for _, sequence := range o.returned {
+			if sequence == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func compareSources(x, y usage.Source) int {
 	switch {
 	case x.Daemon < y.Daemon, x.Daemon == y.Daemon && x.Incarnation < y.Incarnation:
