--- /dev/null
+++ b/coordinator/fleet_test.go
@@ -0,0 +1,381 @@
+package coordinator
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/usage"
+)
+
+const configurationKey = "rattanline/config"
+
+// fleet is a set of nodes on an in-memory platform and links.
+type fleet struct {
+	c      *qt.C
+	store  *store
+	links  *links
+	nodes  map[string]*running
+	serial int
+	limits int // the target limit for which shares are checked
+}
+
+type running struct {
+	*Node
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// simulate runs f with virtual time and checks at its end that all stops.
+func simulate(t *testing.T, f func(c *qt.C, fl *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fl := &fleet{c: c, store: newStore(), links: newLinks(), nodes: map[string]*running{}}
+		defer func() {
+			for _, n := range fl.nodes {
+				n.cancel()
+			}
+			fl.store.close()
+			synctest.Wait()
+		}()
+		f(c, fl)
+	})
+}
+
+// start runs a daemon named like "a1" in failure domain "a".
+func (fl *fleet) start(name string, change ...func(*Node)) *running {
+	fl.serial++
+	incarnation := fmt.Sprint("run-", fl.serial)
+	n := &Node{
+		Self: member.Member{
+			Name: name, Host: "host-" + name, Domain: name[:1], Incarnation: incarnation, LinkAddress: name + ":1",
+		},
+		KeyValue:            &client{store: fl.store, name: name},
+		Link:                &link{links: fl.links, name: name},
+		Ledger:              usage.NewLedger(usage.Source{Daemon: name, Incarnation: incarnation}, func(string) float64 { return 1 }),
+		ConfigurationKey:    configurationKey,
+		DecodeConfiguration: decode,
+	}
+	for _, domain := range []string{"a", "b", "c"} {
+		n.Peers = append(n.Peers, domain+"1:1", domain+"2:1")
+	}
+	for _, f := range change {
+		f(n)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Node: n, cancel: cancel, done: make(chan struct{})}
+	fl.links.register(name, n.Receiver())
+	fl.nodes[name] = r
+	go func() {
+		defer close(r.done)
+		_ = n.Run(ctx)
+	}()
+	return r
+}
+
+// startAll runs the daemons 1 to size in each domain and waits until settled.
+func (fl *fleet) startAll(domains string, size int) {
+	for _, d := range domains {
+		for i := 1; i <= size; i++ {
+			fl.start(fmt.Sprintf("%c%d", d, i))
+		}
+	}
+	fl.until(20*time.Second, "all members live and counted", func() bool { return fl.settled(size) })
+}
+
+// settled tells whether every daemon sees size live, counted members in all
+// domains and has authority with all follower leases.
+func (fl *fleet) settled(size int) bool {
+	for _, n := range fl.nodes {
+		if len(n.View().Tables) < len(fl.domains()) {
+			return false
+		}
+		for _, t := range n.View().Tables {
+			if len(t.Live()) != size {
+				return false
+			}
+		}
+		s, ok := n.Authority(time.Now())
+		if !ok || s.Leases != size || s.Counted != size {
+			return false
+		}
+	}
+	return true
+}
+
+func (fl *fleet) domains() map[string]bool {
+	domains := map[string]bool{}
+	for _, n := range fl.nodes {
+		domains[n.Self.Domain] = true
+	}
+	return domains
+}
+
+// crash stops a daemon without a word.
+func (fl *fleet) crash(name string) {
+	fl.links.cut(name, "*")
+	fl.store.block(name, true)
+	fl.nodes[name].cancel()
+	<-fl.nodes[name].done
+	delete(fl.nodes, name)
+	fl.links.heal(name, "*")
+	fl.links.register(name, nil)
+	fl.store.block(name, false)
+}
+
+// until advances the time in small steps, checking the shares at each, until
+// the condition holds.
+func (fl *fleet) until(limit time.Duration, what string, condition func() bool) time.Duration {
+	fl.c.Helper()
+	start := time.Now()
+	for !condition() {
+		if time.Since(start) > limit {
+			fl.c.Fatalf("not within %v: %s\n%s", limit, what, fl.describe())
+		}
+		fl.step()
+	}
+	return time.Since(start)
+}
+
+func (fl *fleet) run(d time.Duration) {
+	fl.c.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		fl.step()
+	}
+}
+
+func (fl *fleet) step() {
+	fl.c.Helper()
+	time.Sleep(50 * time.Millisecond)
+	synctest.Wait()
+	fl.checkShares()
+}
+
+// checkShares checks that the shares of the coordinators of a domain never add
+// up to more than the limit of a target. Each daemon may use the share that it
+// was told last, so for each coordinator the largest one still valid counts.
+func (fl *fleet) checkShares() {
+	fl.c.Helper()
+	now := time.Now()
+	for domain := range fl.domains() {
+		for _, limit := range []int{1, 7, 8} {
+			parts := map[string]int{}
+			for _, n := range fl.nodes {
+				n.mu.Lock()
+				leader := n.follow.leader.Name
+				n.mu.Unlock()
+				if s, ok := n.Authority(now); ok && n.Self.Domain == domain {
+					parts[leader] = max(parts[leader], s.Limit(limit))
+				}
+			}
+			sum := 0
+			for _, p := range parts {
+				sum += p
+			}
+			if sum > limit {
+				fl.c.Fatalf("shares of domain %s add up to %d of %d: %v\n%s", domain, sum, limit, parts, fl.describe())
+			}
+		}
+	}
+}
+
+func (fl *fleet) describe() string {
+	var b strings.Builder
+	for name, n := range fl.nodes {
+		s, ok := n.Authority(time.Now())
+		leader, confirmed := n.Coordinator()
+		t := n.View().Tables[n.Self.Domain]
+		fmt.Fprintf(&b, "%s follows %s (confirmed %v), share %v %v, version %d, epoch %v:", name, leader, confirmed, s, ok, n.Configuration().Version, t.Epoch)
+		for _, m := range t.Members {
+			fmt.Fprintf(&b, " %s/%s/%v", m.Name, m.State, m.Counted)
+		}
+		fmt.Fprintln(&b, "; domains", n.View().Domains())
+	}
+	return b.String()
+}
+
+// leader returns the name of the daemon that is coordinator of the domain.
+func (fl *fleet) leader(domain string) string {
+	for name, n := range fl.nodes {
+		if n.Self.Domain == domain && n.leads() {
+			return name
+		}
+	}
+	return ""
+}
+
+// accept writes a configuration version as an operator's daemon would.
+func (fl *fleet) accept(version uint64) {
+	fl.store.put(configurationKey, []byte(fmt.Sprint(version)))
+}
+
+func decode(value []byte) (config.Document, error) {
+	var version uint64
+	_, err := fmt.Sscan(string(value), &version)
+	accounts := []config.Account{{Name: "x"}, {Name: "y"}}
+	return config.Document{Version: version, Accounts: accounts}, err
+}
+
+func (fl *fleet) allHave(version uint64) func() bool {
+	return func() bool {
+		for _, n := range fl.nodes {
+			if n.Configuration().Version < version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// links carries calls between the daemons through gob, as net/rpc does.
+type links struct {
+	mu        sync.Mutex
+	receivers map[string]*Receiver
+	broken    map[[2]string]bool
+	frozen    map[string]chan struct{}
+	delay     time.Duration
+	bytes     map[string]int // by method and whether it crosses domains
+}
+
+func newLinks() *links {
+	return &links{
+		receivers: map[string]*Receiver{}, broken: map[[2]string]bool{},
+		frozen: map[string]chan struct{}{}, delay: 3 * time.Millisecond, bytes: map[string]int{},
+	}
+}
+
+func (l *links) register(name string, receiver any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, _ := receiver.(*Receiver)
+	l.receivers[name] = r
+}
+
+func (l *links) cut(x, y string)  { l.set(x, y, true) }
+func (l *links) heal(x, y string) { l.set(x, y, false) }
+
+func (l *links) set(x, y string, broken bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.broken[[2]string{x, y}], l.broken[[2]string{y, x}] = broken, broken
+}
+
+// freeze makes all calls from and to the daemon wait until thaw.
+func (l *links) freeze(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen[name] = make(chan struct{})
+}
+
+func (l *links) thaw(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.frozen[name])
+	delete(l.frozen, name)
+}
+
+func (l *links) wait(ctx context.Context, name string) error {
+	l.mu.Lock()
+	ch := l.frozen[name]
+	l.mu.Unlock()
+	if ch == nil {
+		return nil
+	}
+	select {
+	case <-ch:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// isBroken also knows cuts between a daemon and a domain or all others ("*").
+func (l *links) isBroken(x, y string) bool {
+	for _, p := range [][2]string{{x, y}, {x, y[:1]}, {x[:1], y}, {x[:1], y[:1]}, {x, "*"}, {"*", y}, {x[:1], "*"}, {"*", y[:1]}} {
+		if l.broken[p] && !(x[:1] == y[:1] && len(p[0]) == 1 && len(p[1]) == 1) {
+			return true
+		}
+	}
+	return false
+}
+
+type link struct {
+	links *links
+	name  string
+}
+
+func (l *link) Call(ctx context.Context, address, method string, args, reply any) error {
+	to, _, _ := strings.Cut(address, ":")
+	if err := l.links.wait(ctx, l.name); err != nil {
+		return err
+	}
+	time.Sleep(l.links.delay)
+	l.links.mu.Lock()
+	r, broken := l.links.receivers[to], l.links.isBroken(l.name, to)
+	l.links.mu.Unlock()
+	if broken {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if r == nil {
+		return errors.New("connection refused")
+	}
+	if err := l.links.wait(ctx, to); err != nil {
+		return err
+	}
+	kind := method
+	if to[:1] != l.name[:1] {
+		kind += " between domains"
+	}
+	var err error
+	switch a := args.(type) {
+	case HeartbeatArgs:
+		var in HeartbeatArgs
+		var out HeartbeatReply
+		l.copy(kind, a, &in)
+		err = r.Heartbeat(in, &out)
+		l.copy(kind, out, reply)
+	case ExchangeArgs:
+		var in ExchangeArgs
+		var out ExchangeReply
+		l.copy(kind, a, &in)
+		err = r.Exchange(in, &out)
+		l.copy(kind, out, reply)
+	}
+	time.Sleep(l.links.delay)
+	if werr := l.links.wait(ctx, l.name); werr != nil {
+		return werr
+	}
+	return err
+}
+
+// copy passes a message through gob and counts its bytes without the types,
+// which net/rpc sends once per connection.
+func (l *link) copy(kind string, from, to any) {
+	var b bytes.Buffer
+	e := gob.NewEncoder(&b)
+	if err := e.Encode(from); err != nil {
+		panic(err)
+	}
+	if err := gob.NewDecoder(&b).Decode(to); err != nil {
+		panic(err)
+	}
+	_ = e.Encode(from)
+	l.links.mu.Lock()
+	l.links.bytes[kind] += b.Len()
+	l.links.mu.Unlock()
+}
+
+var _ port.Link = (*link)(nil)
--- /dev/null
+++ b/coordinator/heartbeat.go
@@ -0,0 +1,196 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/quarantine"
+)
+
+func (n *Node) heartbeatLoop(ctx context.Context) error {
+	return every(ctx, n.Interval, func() { n.beat(ctx) })
+}
+
+// beat sends one heartbeat and takes over the reply.
+func (n *Node) beat(ctx context.Context) {
+	n.readMarks()
+	sent := time.Now()
+	n.mu.Lock()
+	to, ok := n.next(sent)
+	if !ok {
+		n.mu.Unlock()
+		return
+	}
+	args := n.heartbeat(to, sent)
+	n.mu.Unlock()
+	var reply HeartbeatReply
+	err := n.send(ctx, to, args, &reply)
+	n.mu.Lock()
+	var marks []quarantine.Mark
+	if err != nil {
+		n.heartbeatFailed(to, time.Now())
+	} else {
+		marks = n.heartbeatAnswered(to, sent, args, reply)
+	}
+	n.mu.Unlock()
+	n.mergeMarks(marks)
+}
+
+func (n *Node) send(ctx context.Context, to destination, args HeartbeatArgs, reply *HeartbeatReply) error {
+	if to.self {
+		return (&Receiver{node: n}).Heartbeat(args, reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.CallTimeout)
+	defer cancel()
+	return n.Link.Call(ctx, to.address, "Coordinator.Heartbeat", args, reply)
+}
+
+// heartbeat returns the message, and makes the promise if it follows.
+func (n *Node) heartbeat(to destination, sent time.Time) HeartbeatArgs {
+	f := &n.follow
+	args := HeartbeatArgs{
+		Name: n.Self.Name, Incarnation: n.Self.Incarnation, Domain: n.Self.Domain,
+		Leaving: n.leaving,
+		Epoch:   n.view.Load().Tables[n.Self.Domain].Epoch,
+		Seen:    f.seen[to.seenKey()],
+		Version: n.doc.Load().Version,
+		Want:    f.want,
+	}
+	leader := to.contact
+	if leader.Name == "" {
+		return args
+	}
+	if f.released.Name != "" && leader.Term.Revision > f.released.Term.Revision {
+		// A coordinator confirmed after the former one gave up its lease waits
+		// until all shares told by that one have expired.
+		f.promise = f.promise.Release(f.released.run())
+	}
+	if f.echo.Coordinator == leader.run() {
+		args.Echo = f.echo
+		if f.promise.Allows(leader.run(), sent) {
+			args.Follow = true
+			f.promise = f.promise.Extend(leader.run(), sent, n.FollowerLease)
+		}
+	}
+	if args.Echo.Coordinator == "" || f.wantMember {
+		self := n.Self
+		args.Member = &self
+	}
+	if t, ok := n.view.Load().Tables[n.Self.Domain]; ok && f.wantTable {
+		args.Table = &t
+	}
+	if f.marksTo != leader.run() || f.marksSent < n.feed.changed[marksItem] {
+		args.Marks = n.marks
+	}
+	if n.Ledger != nil {
+		args.Usage, args.Applied = n.Ledger.Report(f.source), n.Ledger.Applied()
+	}
+	return args
+}
+
+func (d destination) seenKey() string {
+	if d.self {
+		return "self"
+	}
+	return d.address
+}
+
+func (n *Node) heartbeatFailed(to destination, now time.Time) {
+	f := &n.follow
+	if to.contact.Name != "" {
+		if f.failed++; f.failed < failuresAllowed {
+			return
+		}
+	}
+	f.avoid[to.address] = now
+}
+
+func (n *Node) heartbeatAnswered(to destination, sent time.Time, args HeartbeatArgs, reply HeartbeatReply) []quarantine.Mark {
+	f := &n.follow
+	marks := n.apply(reply.Feed)
+	if !to.self {
+		f.seen[to.seenKey()] = Seen{Incarnation: reply.Feed.Incarnation, Version: reply.Feed.Version}
+	}
+	n.reached(sent.Add(-reply.Reach))
+	if to.domain != "" && to.domain != n.Self.Domain {
+		n.reached(sent)
+	}
+	if reply.Released.Name != "" {
+		f.released = reply.Released
+	}
+	n.learn(reply.Contact, reply.Coordinator && !to.self)
+	if !reply.Coordinator {
+		n.redirected(to, reply)
+		return marks
+	}
+	if to.self {
+		// The role may have ended meanwhile; then the next heartbeat goes elsewhere.
+		to.contact = reply.Contact
+	}
+	f.leader, f.heard, f.failed, f.candidate = reply.Contact, sent, 0, false
+	f.echo = Echo{Coordinator: reply.Contact.run(), Stamp: reply.Stamp}
+	f.wantMember, f.wantTable = reply.WantMember, reply.WantTable
+	if args.Marks != nil || n.marks == nil {
+		f.marksTo, f.marksSent = reply.Contact.run(), n.feed.changed[marksItem]
+	}
+	if reply.Accepted {
+		n.auth = authority{share: reply.Share, until: sent.Add(n.OwnerLease)}
+	}
+	if n.Ledger != nil && reply.Source.Daemon != "" {
+		f.source = reply.Source
+		n.Ledger.Acknowledge(reply.Source, reply.Ack)
+		if reply.Usage.Writer.Daemon != "" {
+			n.Ledger.Apply(reply.Usage)
+		}
+	}
+	return marks
+}
+
+// redirected handles the reply of a daemon that isn't the coordinator.
+func (n *Node) redirected(to destination, reply HeartbeatReply) {
+	f := &n.follow
+	now := time.Now()
+	if to.contact.Name != "" {
+		f.avoid[to.address] = now
+		f.failed = failuresAllowed
+	}
+	if to.domain == n.Self.Domain && to.contact.Name == "" {
+		// A better ranked daemon responds, so it is the one to take over.
+		f.candidate = false
+	}
+	c := reply.Contact
+	if c.Domain != n.Self.Domain || c.Name == n.Self.Name || c.Name == "" {
+		return
+	}
+	if reply.Heard < n.CampaignAfter && c.Address != to.address {
+		delete(f.avoid, c.Address)
+	}
+}
+
+// Refresh returns once this daemon holds the configuration version or a newer
+// one, which a caller or operator has seen at another daemon.
+func (n *Node) Refresh(ctx context.Context, version uint64) error {
+	n.init()
+	for n.doc.Load().Version < version {
+		n.mu.Lock()
+		n.follow.want = max(n.follow.want, version)
+		leads := n.role != nil
+		n.mu.Unlock()
+		if leads {
+			n.fetchConfiguration(ctx)
+		} else {
+			n.beat(ctx)
+		}
+		if n.doc.Load().Version >= version {
+			break
+		}
+		if !sleep(ctx, n.Interval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// table returns the own domain's table.
+func (n *Node) table() member.Table { return n.view.Load().Tables[n.Self.Domain] }
--- /dev/null
+++ b/coordinator/hosts.go
@@ -0,0 +1,126 @@
+package coordinator
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"rattanline.example/rattanline/port"
+)
+
+// unlistedFor is how long a host must be missing from all successful reads of
+// the host list, because one wrong read must not stop a member's counting.
+const unlistedFor = 5 * time.Second
+
+// hosts is what is known of the host list: the own readings and those that
+// other coordinators spread.
+type hosts struct {
+	own     map[string]port.HostState
+	ownRead time.Time
+	missing map[string]time.Time // since when member hosts are not listed
+	others  map[string]HostReport
+	from    string // the reader of the report in use
+}
+
+func newHosts() hosts {
+	return hosts{missing: map[string]time.Time{}, others: map[string]HostReport{}}
+}
+
+// HostLeaving tells whether the platform's host list shows the host as leaving.
+func (n *Node) HostLeaving(host string) bool {
+	n.init()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := n.hosts.report(false)
+	return r != nil && slices.Contains(r.Leaving, host)
+}
+
+// report returns the reading to spread: the own one, or unless ownOnly is set
+// the one heard last.
+func (h *hosts) report(ownOnly bool) *HostReport {
+	if h.own != nil {
+		return &HostReport{Reader: "", Leaving: leavingHosts(h.own)}
+	}
+	if r, ok := h.others[h.from]; ok && !ownOnly {
+		return &r
+	}
+	return nil
+}
+
+func leavingHosts(list map[string]port.HostState) []string {
+	var leaving []string
+	for name, s := range list {
+		if s == port.HostLeaving {
+			leaving = append(leaving, name)
+		}
+	}
+	slices.Sort(leaving)
+	return leaving
+}
+
+// merge takes over another daemon's report and tells whether it is a change.
+func (h *hosts) merge(r HostReport) bool {
+	old, known := h.others[r.Reader]
+	changed := !known || h.from != r.Reader || !slices.Equal(old.Leaving, r.Leaving)
+	h.others[r.Reader], h.from = r, r.Reader
+	return changed && h.own == nil
+}
+
+// read takes over an own reading and tells whether the leaving hosts changed.
+func (h *hosts) read(list map[string]port.HostState, members []string, self string, now time.Time) bool {
+	changed := h.own == nil || !slices.Equal(leavingHosts(h.own), leavingHosts(list))
+	h.own, h.ownRead = maps.Clone(list), now
+	if _, ok := list[self]; !ok {
+		// A list without the reading daemon's own host is incomplete.
+		clear(h.missing)
+		return changed
+	}
+	missing := map[string]time.Time{}
+	for _, m := range members {
+		if _, ok := list[m]; ok {
+			continue
+		}
+		missing[m] = now
+		if since, ok := h.missing[m]; ok {
+			missing[m] = since
+		}
+	}
+	h.missing = missing
+	return changed
+}
+
+// unlisted tells whether the host was missing in all recent readings.
+func (h *hosts) unlisted(host string, now time.Time) bool {
+	since, ok := h.missing[host]
+	return ok && host != "" && h.ownRead.Sub(since) >= unlistedFor && now.Sub(h.ownRead) < unlistedFor
+}
+
+// hostLoop reads the host list while this daemon is coordinator.
+func (n *Node) hostLoop(ctx context.Context) error {
+	if n.HostList == nil {
+		return nil
+	}
+	return every(ctx, n.HostInterval, func() {
+		if !n.leads() {
+			n.mu.Lock()
+			n.hosts.own = nil
+			n.mu.Unlock()
+			return
+		}
+		list, err := n.HostList.Hosts(ctx)
+		if err != nil {
+			n.Logger.Warn().Err(err).Msg("host list not read")
+			return
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		var members []string
+		for _, m := range n.table().Members {
+			members = append(members, m.Host)
+		}
+		if n.hosts.read(list, members, n.Self.Host, time.Now()) {
+			n.feed.touch(hostsItem)
+		}
+	})
+}
--- /dev/null
+++ b/coordinator/lease.go
@@ -0,0 +1,316 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/port"
+)
+
+const coordinatorPrefix = "rattanline/coordinators/"
+
+// platform is the state of this daemon's calls to the key-value service.
+type platform struct {
+	failing bool // the last call failed
+	backoff *backoff.ExponentialBackOff
+	next    time.Time // no call is made before
+	listed  time.Time
+	// lease is one that this run was granted for a record whose write may have
+	// taken effect.
+	lease   int64
+	granted time.Time
+}
+
+// newBackoff returns delays that grow to 10 s with jitter of a half, so that
+// the coordinators of all domains don't return together after an outage.
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = 500*time.Millisecond, 10*time.Second
+	return b
+}
+
+func (n *Node) recordKey() string { return coordinatorPrefix + n.Self.Domain }
+
+// platformLoop makes all calls to the key-value service but the watch's, one
+// after the other. A daemon that is neither coordinator nor candidate makes none.
+func (n *Node) platformLoop(ctx context.Context) error {
+	n.mu.Lock()
+	n.platform.backoff = newBackoff()
+	n.mu.Unlock()
+	return every(ctx, n.Interval/2, func() {
+		n.mu.Lock()
+		ro, candidate, now := n.role, n.follow.candidate, time.Now()
+		unheard := now.Sub(n.follow.heard)
+		wait := now.Before(n.platform.next)
+		n.mu.Unlock()
+		var err error
+		switch {
+		case wait:
+		case ro != nil:
+			err = n.maintain(ctx, ro)
+		case candidate && unheard >= n.CampaignAfter:
+			err = n.campaign(ctx)
+		default:
+			return
+		}
+		n.platformResult(ctx, err, wait)
+		if ro == nil && candidate {
+			n.takeOverUnconfirmed(unheard)
+		}
+	})
+}
+
+func (n *Node) platformResult(ctx context.Context, err error, skipped bool) {
+	if skipped || ctx.Err() != nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err == nil {
+		if n.platform.failing {
+			n.record("platform-available", "")
+		}
+		n.platform.failing = false
+		n.platform.backoff.Reset()
+		return
+	}
+	if !n.platform.failing {
+		n.record("platform-unavailable", err.Error())
+	}
+	n.platform.failing = true
+	n.platform.next = time.Now().Add(n.platform.backoff.NextBackOff())
+}
+
+// campaign creates the coordinator's record if there is none.
+func (n *Node) campaign(ctx context.Context) error {
+	e, err := n.readRecord(ctx)
+	if err != nil {
+		return err
+	}
+	if e.Revision > 0 {
+		return n.recordExists(ctx, e)
+	}
+	term, lease, sent, err := n.acquire(ctx)
+	if err != nil || term == 0 {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.confirm(n.beginOrKeep(term), term, lease, sent, n.CoordinatorLease)
+	return nil
+}
+
+func (n *Node) readRecord(ctx context.Context) (port.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	e, err := n.KeyValue.Get(ctx, n.recordKey())
+	if err != nil {
+		return e, fmt.Errorf("read coordinator: %w", err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reached(time.Now())
+	return e, nil
+}
+
+// acquire writes the record under a lease; term 0 means that another daemon was
+// first.
+func (n *Node) acquire(ctx context.Context) (term, lease int64, sent time.Time, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	sent = time.Now()
+	lease, err = n.KeyValue.GrantLease(ctx, n.CoordinatorLease)
+	if err != nil {
+		return 0, 0, sent, fmt.Errorf("grant lease: %w", err)
+	}
+	n.mu.Lock()
+	n.platform.lease, n.platform.granted = lease, sent
+	n.mu.Unlock()
+	value, err := json.Marshal(Contact{
+		Name: n.Self.Name, Incarnation: n.Self.Incarnation, Domain: n.Self.Domain, Address: n.Self.LinkAddress,
+	})
+	if err != nil {
+		return 0, 0, sent, fmt.Errorf("encode coordinator: %w", err)
+	}
+	result, err := n.KeyValue.Commit(ctx, port.Transaction{
+		Conditions: []port.Condition{{Key: n.recordKey()}},
+		Writes:     []port.Write{{Key: n.recordKey(), Value: value, Lease: lease}},
+	})
+	switch {
+	case err != nil:
+		// If the write took effect, the next read finds this run's record.
+		return 0, 0, sent, fmt.Errorf("write coordinator: %w", err)
+	case !result.Committed:
+		// The unused lease expires without a call.
+		return 0, 0, sent, nil
+	}
+	return result.Revision, lease, sent, nil
+}
+
+// recordExists handles a record found by a candidate or by a coordinator that
+// lost its lease: it is this run's own after a lost response, or another's.
+func (n *Node) recordExists(ctx context.Context, e port.Entry) error {
+	c, err := decodeContact(e)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	lease, own := n.platform.lease, c.Name == n.Self.Name && c.Incarnation == n.Self.Incarnation
+	if !own {
+		n.learn(c, false)
+		n.platform.next = time.Now().Add(jitter(time.Second, 0.3))
+	}
+	n.mu.Unlock()
+	if !own || lease == 0 {
+		return nil
+	}
+	sent := time.Now()
+	ttl, err := n.KeyValue.RenewLease(ctx, lease)
+	if err != nil {
+		return fmt.Errorf("renew lease: %w", err)
+	}
+	if ttl <= 0 {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.confirm(n.beginOrKeep(e.Revision), e.Revision, lease, sent, ttl)
+	return nil
+}
+
+// beginOrKeep returns the role for a record that this run wrote. A daemon that
+// is leaving doesn't take it; then the record expires.
+func (n *Node) beginOrKeep(term int64) *role {
+	if n.role == nil && !n.leaving {
+		n.begin(member.Epoch{Revision: term}, time.Now())
+	}
+	return n.role
+}
+
+// confirm notes a valid lease. It counts from the time when the call was sent,
+// so it ends before another daemon can acquire it.
+func (n *Node) confirm(ro *role, term, lease int64, sent time.Time, ttl time.Duration) {
+	now := time.Now()
+	if ro == nil || n.role != ro {
+		// The role was given up while the call was under way.
+		return
+	}
+	ro.lease, ro.renewed = lease, sent
+	ro.validUntil = sent.Add(min(ttl, n.CoordinatorLease) - n.LeaseMargin)
+	if ro.term.Revision != term {
+		ro.term = member.Epoch{Revision: term}
+		ro.tableRead = false
+	}
+	n.learn(ro.contact(n, now), false)
+	n.reached(now)
+}
+
+func decodeContact(e port.Entry) (Contact, error) {
+	var c Contact
+	if err := json.Unmarshal(e.Value, &c); err != nil {
+		return c, fmt.Errorf("decode coordinator: %w", err)
+	}
+	c.Term = member.Epoch{Revision: e.Revision}
+	c.Confirmed = true
+	return c, nil
+}
+
+// maintain does the coordinator's next call to the platform, if one is due.
+func (n *Node) maintain(ctx context.Context, ro *role) error {
+	now := time.Now()
+	n.mu.Lock()
+	lease, renewed, listed := ro.lease, ro.renewed, n.platform.listed
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	switch {
+	case lease == 0:
+		return n.campaign(ctx)
+	case now.Sub(renewed) >= n.CoordinatorLease/3:
+		return n.renew(ctx, ro)
+	case !ro.confirmed(now):
+		return nil
+	case !ro.tableRead:
+		return n.readTable(ctx, ro)
+	case listed.IsZero() || now.Sub(listed) >= n.RelistInterval:
+		return n.list(ctx, listed.IsZero())
+	}
+	return n.publish(ctx, ro)
+}
+
+func (n *Node) renew(ctx context.Context, ro *role) error {
+	sent := time.Now()
+	ttl, err := n.KeyValue.RenewLease(ctx, ro.lease)
+	if err != nil {
+		return fmt.Errorf("renew lease: %w", err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ttl <= 0 {
+		ro.lease, ro.validUntil = 0, time.Time{}
+		return nil
+	}
+	n.confirm(ro, ro.term.Revision, ro.lease, sent, ttl)
+	return nil
+}
+
+// checkRecord steps down if the record isn't the one of this term.
+func (n *Node) checkRecord(ctx context.Context, ro *role) error {
+	e, err := n.readRecord(ctx)
+	if err != nil || e.Revision == ro.term.Revision {
+		return err
+	}
+	n.mu.Lock()
+	ro.lease, ro.validUntil = 0, time.Time{}
+	n.mu.Unlock()
+	if e.Revision == 0 {
+		return nil
+	}
+	c, err := decodeContact(e)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.role == ro && c.run() != ro.contact(n, time.Now()).run() {
+		n.learn(c, false)
+		n.stepDown("record belongs to " + c.Name)
+	}
+	return nil
+}
+
+// list reads the coordinators of all domains, and at first their tables.
+func (n *Node) list(ctx context.Context, tables bool) error {
+	entries, err := n.KeyValue.List(ctx, coordinatorPrefix)
+	if err != nil {
+		return fmt.Errorf("list coordinators: %w", err)
+	}
+	var domains []port.Entry
+	if tables {
+		if domains, err = n.KeyValue.List(ctx, "rattanline/domains/"); err != nil {
+			return fmt.Errorf("list tables: %w", err)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, e := range entries {
+		c, err := decodeContact(e)
+		if err != nil {
+			n.Logger.Error().Err(err).Str("key", e.Key).Msg("coordinator can't be decoded")
+			continue
+		}
+		if c.Name != n.Self.Name {
+			n.learn(c, false)
+		}
+	}
+	for _, e := range domains {
+		n.adoptEntry(e)
+	}
+	n.platform.listed = time.Now().Add(-jitter(n.RelistInterval, 0.1) + n.RelistInterval)
+	return nil
+}
--- /dev/null
+++ b/coordinator/node.go
@@ -0,0 +1,207 @@
+// Package coordinator holds the membership of one daemon: it follows the
+// coordinator of its failure domain, and takes over that role when it is next.
+package coordinator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/quarantine"
+	"rattanline.example/rattanline/timeline"
+	"rattanline.example/rattanline/usage"
+)
+
+// Node is the membership of one daemon. The exported fields are set before Run;
+// durations that are zero get their defaults.
+type Node struct {
+	Self     member.Member
+	KeyValue port.KeyValue
+	HostList port.HostList // may be nil
+	Link     port.Link
+	Ledger   *usage.Ledger
+	Peers    []string // link addresses of daemons to join through
+
+	Interval         time.Duration // of heartbeats and exchanges
+	CallTimeout      time.Duration // of one call to another daemon
+	CoordinatorLease time.Duration // in the key-value service
+	LeaseMargin      time.Duration // the lease is taken as expired earlier by this
+	OwnerLease       time.Duration
+	FollowerLease    time.Duration
+	IsolationLimit   time.Duration
+	SilentAfter      time.Duration // must exceed the owner lease
+	ForgetAfter      time.Duration // silent members that aren't counted are removed
+	CampaignAfter    time.Duration // without a coordinator
+	UnconfirmedAfter time.Duration // without a coordinator and the platform
+	RestoreAfter     time.Duration // at the latest, a new coordinator reports totals
+	HostInterval     time.Duration // between reads of the host list
+	RelistInterval   time.Duration // between listings of the coordinators
+
+	ConfigurationKey    string
+	DecodeConfiguration func([]byte) (config.Document, error)
+	Marks               func() []quarantine.Mark // may be nil
+	MergeMarks          func([]quarantine.Mark)  // may be nil
+	Record              timeline.Recorder        // may be nil
+	Logger              zerolog.Logger
+
+	prepare sync.Once
+	view    atomic.Pointer[member.View]
+	doc     atomic.Pointer[config.Document]
+
+	mu       sync.Mutex
+	feed     feed
+	contacts contacts
+	hosts    hosts
+	marks    []quarantine.Mark
+	follow   following
+	auth     authority
+	role     *role // nil unless this daemon is the coordinator
+	outside  time.Time
+	started  time.Time
+	leaving  bool
+	stepped  Contact      // the term that this run gave up on leaving
+	term     member.Epoch // the newest term seen in this domain
+	platform platform
+}
+
+// authority is what the last accepted heartbeat allows this daemon as owner.
+type authority struct {
+	share member.Share
+	until time.Time
+}
+
+func (n *Node) init() {
+	n.prepare.Do(func() {
+		for _, d := range []struct {
+			field *time.Duration
+			value time.Duration
+		}{
+			{&n.Interval, 200 * time.Millisecond},
+			{&n.CallTimeout, 500 * time.Millisecond},
+			{&n.CoordinatorLease, 5 * time.Second},
+			{&n.LeaseMargin, 500 * time.Millisecond},
+			{&n.OwnerLease, 3 * time.Second},
+			{&n.FollowerLease, 6 * time.Second},
+			{&n.IsolationLimit, 5 * time.Second},
+			{&n.SilentAfter, n.OwnerLease + 200*time.Millisecond},
+			{&n.ForgetAfter, 30 * time.Second},
+			{&n.CampaignAfter, time.Second},
+			{&n.UnconfirmedAfter, 4 * time.Second},
+			{&n.RestoreAfter, 2 * time.Second},
+			{&n.HostInterval, time.Second},
+			{&n.RelistInterval, 10 * time.Minute},
+		} {
+			if *d.field == 0 {
+				*d.field = d.value
+			}
+		}
+		n.started = time.Now()
+		n.outside = n.started
+		n.Self.State = member.Live
+		n.contacts = contacts{}
+		n.feed = feed{changed: map[string]uint64{}}
+		n.follow = newFollowing(n.started)
+		n.hosts = newHosts()
+		n.view.Store(&member.View{Self: n.Self, Tables: map[string]member.Table{}})
+		n.doc.Store(&config.Document{})
+	})
+}
+
+// Run takes part in the fleet until the context ends. A daemon that has left
+// before says goodbye, so that its follower lease is no longer counted.
+func (n *Node) Run(ctx context.Context) error {
+	n.init()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, loop := range []func(context.Context) error{
+		n.heartbeatLoop, n.roleLoop, n.platformLoop, n.watchLoop, n.hostLoop,
+	} {
+		g.Go(func() error { return loop(ctx) })
+	}
+	err := g.Wait()
+	n.goodbye()
+	return err
+}
+
+// View returns the member tables that this daemon knows.
+func (n *Node) View() member.View {
+	n.init()
+	return *n.view.Load()
+}
+
+// Configuration returns the configuration in force; version 0 before the first.
+func (n *Node) Configuration() config.Document {
+	n.init()
+	return *n.doc.Load()
+}
+
+// Authority returns the share of each target's limit that this daemon may grant
+// as owner, and whether it may act as owner now.
+func (n *Node) Authority(now time.Time) (member.Share, bool) {
+	n.init()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.auth.share, now.Before(n.auth.until) && n.auth.share.Counted > 0
+}
+
+// Coordinator returns the coordinator that this daemon follows, and whether its
+// lease is confirmed by the platform.
+func (n *Node) Coordinator() (name string, confirmed bool) {
+	n.init()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.role != nil {
+		return n.Self.Name, n.role.confirmed(time.Now())
+	}
+	if time.Since(n.follow.heard) > n.OwnerLease {
+		return "", false
+	}
+	return n.follow.leader.Name, n.follow.leader.Confirmed
+}
+
+// Receiver returns the receiver of the link's calls, named "Coordinator".
+func (n *Node) Receiver() any {
+	n.init()
+	return &Receiver{node: n}
+}
+
+// every calls f at the interval, with jitter so that daemons started together
+// don't stay in step, until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	for {
+		f()
+		if !sleep(ctx, jitter(interval, 0.05)) {
+			return nil
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// jitter returns a duration that differs from d by at most the part of it.
+func jitter(d time.Duration, part float64) time.Duration {
+	return d + time.Duration((2*rand.Float64()-1)*part*float64(d))
+}
+
+func (n *Node) record(kind, detail string) {
+	n.Logger.Info().Str("event", kind).Str("detail", detail).Msg("membership")
+	if n.Record != nil {
+		n.Record.Record(timeline.Event{Kind: kind, Detail: detail})
+	}
+}
--- /dev/null
+++ b/coordinator/publish.go
@@ -0,0 +1,135 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/port"
+)
+
+// publishInterval batches changes, such as daemons that start together.
+const publishInterval = 300 * time.Millisecond
+
+func (n *Node) rules() member.Rules {
+	return member.Rules{SilentAfter: n.SilentAfter, ForgetAfter: n.ForgetAfter}
+}
+
+func (n *Node) knowledge(now time.Time, confirmed bool) member.Knowledge {
+	return member.Knowledge{
+		Now: now, Coordinator: n.Self.Name, Since: n.role.began, Confirmed: confirmed,
+		Evidence: n.role.evidence, Unlisted: func(host string) bool { return n.hosts.unlisted(host, now) },
+	}
+}
+
+func (n *Node) ownTable() member.Table {
+	t := n.table()
+	t.Domain = n.Self.Domain
+	return t
+}
+
+// decideUnconfirmed puts a changed table in force while the platform is down.
+// Members can be removed and change their state, but none starts to be counted.
+func (n *Node) decideUnconfirmed(now time.Time) {
+	if n.role.confirmed(now) && !n.platform.failing {
+		return
+	}
+	t := n.ownTable()
+	if t.Epoch == (member.Epoch{}) {
+		// Without any table the domain has no counted members to hold leases of.
+		return
+	}
+	next, changed := n.rules().Next(t, n.knowledge(now, false))
+	if !changed {
+		return
+	}
+	epoch := member.Epoch{Revision: t.Epoch.Revision, Minor: t.Epoch.Minor + 1}
+	n.putInForce(next.WithEpoch(epoch, n.Self.Name))
+}
+
+func (n *Node) putInForce(t member.Table) {
+	n.adoptTable(t)
+	n.record("table-published", t.Epoch.String())
+	for name, e := range n.role.evidence {
+		// A daemon that said goodbye must not come back through its evidence.
+		if _, ok := t.Find(name); !ok && e.Gone && time.Since(e.Heard) > n.ForgetAfter {
+			delete(n.role.evidence, name)
+		}
+	}
+}
+
+func (n *Node) tableKey() string { return "rattanline/domains/" + n.Self.Domain }
+
+// readTable reads the published table and its revision.
+func (n *Node) readTable(ctx context.Context, ro *role) error {
+	e, err := n.KeyValue.Get(ctx, n.tableKey())
+	if err != nil {
+		return fmt.Errorf("read table: %w", err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ro.tableRead, ro.tableRevision = true, e.Revision
+	n.adoptEntry(e)
+	return nil
+}
+
+func (n *Node) adoptEntry(e port.Entry) {
+	if e.Revision == 0 {
+		return
+	}
+	var t member.Table
+	if err := json.Unmarshal(e.Value, &t); err != nil {
+		n.Logger.Error().Err(err).Str("key", e.Key).Msg("table can't be decoded")
+		return
+	}
+	n.adoptTable(t.WithEpoch(member.Epoch{Revision: e.Revision}, t.Coordinator))
+}
+
+// publish writes the next table if it differs from the one in force. The write
+// requires that the table is unchanged and that the coordinator's record still
+// has the revision of this term, so a write that is delayed until after a
+// successor took over fails.
+func (n *Node) publish(ctx context.Context, ro *role) error {
+	n.mu.Lock()
+	now := time.Now()
+	t := n.ownTable()
+	next, changed := n.rules().Next(t, n.knowledge(now, true))
+	behind := t.Epoch.Minor > 0
+	term := ro.term.Revision
+	due := now.Sub(ro.published) >= publishInterval
+	valid := ro.confirmed(now)
+	n.mu.Unlock()
+	if !changed && !behind || !due || !valid {
+		return nil
+	}
+	next = next.WithEpoch(member.Epoch{}, n.Self.Name)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("encode table: %w", err)
+	}
+	ro.published = now
+	result, err := n.KeyValue.Commit(ctx, port.Transaction{
+		Conditions: []port.Condition{
+			{Key: n.tableKey(), Revision: ro.tableRevision},
+			{Key: n.recordKey(), Revision: term},
+		},
+		Writes: []port.Write{{Key: n.tableKey(), Value: value}},
+	})
+	if err != nil || !result.Committed {
+		// The table is read again before the next write.
+		ro.tableRead = false
+		if err != nil {
+			return fmt.Errorf("write table: %w", err)
+		}
+		return n.checkRecord(ctx, ro)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ro.tableRevision = result.Revision
+	if n.role == ro {
+		n.putInForce(next.WithEpoch(member.Epoch{Revision: result.Revision}, n.Self.Name))
+	}
+	return nil
+}
--- /dev/null
+++ b/coordinator/receiver.go
@@ -0,0 +1,119 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"rattanline.example/rattanline/member"
+)
+
+// Receiver takes the calls of other daemons.
+type Receiver struct {
+	node *Node
+}
+
+// Heartbeat answers a daemon. Any daemon answers with what it knows; only the
+// coordinator of the caller's domain counts the caller as a follower.
+func (r *Receiver) Heartbeat(args HeartbeatArgs, reply *HeartbeatReply) error {
+	n := r.node
+	if args.Want > n.doc.Load().Version && n.leads() {
+		ctx, cancel := context.WithTimeout(context.Background(), n.CallTimeout/2)
+		n.fetchConfiguration(ctx)
+		cancel()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if n.role != nil && args.Domain == n.Self.Domain {
+		n.role.heartbeat(n, args, reply, now)
+	} else {
+		n.redirect(args.Domain, reply, now)
+	}
+	reply.Released = n.stepped
+	reply.Reach = now.Sub(n.outside)
+	if args.Name == n.Self.Name && args.Incarnation == n.Self.Incarnation {
+		return nil
+	}
+	reply.Feed = n.feedFor(args.Seen, args.Version, false)
+	if len(args.Marks) > 0 {
+		go n.mergeMarks(args.Marks)
+	}
+	return nil
+}
+
+func (n *Node) leads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.role != nil
+}
+
+// redirect names the coordinator of the caller's domain.
+func (n *Node) redirect(domain string, reply *HeartbeatReply, now time.Time) {
+	if domain == n.Self.Domain && n.follow.leader.Name != "" {
+		reply.Contact, reply.Heard = n.follow.leader, now.Sub(n.follow.heard)
+		return
+	}
+	if c, ok := n.contacts.best(domain, now); ok {
+		reply.Contact, reply.Heard = c, now.Sub(n.contacts[c.Name].heard)
+	}
+}
+
+// heartbeat takes the heartbeat of a daemon of the own domain.
+func (ro *role) heartbeat(n *Node, args HeartbeatArgs, reply *HeartbeatReply, now time.Time) {
+	reply.Coordinator = true
+	reply.Contact = ro.contact(n, now)
+	reply.Stamp = int64(now.Sub(n.started))
+	if ro.former[args.Name] == args.Incarnation {
+		// A delayed message of a run that has a successor.
+		return
+	}
+	e, known := ro.evidence[args.Name]
+	if !known || e.Member.Incarnation != args.Incarnation {
+		if args.Member == nil {
+			reply.WantMember = true
+			return
+		}
+		if known {
+			ro.former[args.Name] = e.Member.Incarnation
+			ro.followers.Drop(args.Name)
+		}
+		e = member.Evidence{}
+	}
+	if args.Member != nil {
+		e.Member = *args.Member
+	}
+	e.Heard, e.Leaving, e.Gone, e.Epoch = now, args.Leaving, args.Gone, args.Epoch
+	ro.evidence[args.Name] = e
+	if args.Table != nil {
+		n.adoptTable(*args.Table)
+	}
+	table := n.table()
+	switch {
+	case args.Gone:
+		ro.followers.Drop(args.Name)
+		ro.aggregate.ApplyReport(args.Usage)
+		ro.aggregate.Retire(args.Name)
+		return
+	case table.Epoch.Less(args.Epoch):
+		// A lease counts only under a table at least as new as the follower's,
+		// because that one may count more members.
+		reply.WantTable = true
+	case args.Follow && args.Echo.Coordinator == reply.Contact.run():
+		ro.followers.Heard(args.Name, args.Incarnation, n.started.Add(time.Duration(args.Echo.Stamp)))
+	}
+	m, ok := table.Find(args.Name)
+	reply.Accepted = ok && m.Incarnation == args.Incarnation && !reply.WantTable
+	reply.Share = ro.followers.Share(table, now)
+	ro.exchangeUsage(args, reply)
+}
+
+func (ro *role) exchangeUsage(args HeartbeatArgs, reply *HeartbeatReply) {
+	if args.Usage.Writer.Daemon == "" {
+		return
+	}
+	reply.Source = ro.source
+	reply.Ack = ro.aggregate.ApplyReport(args.Usage)
+	if ro.restored {
+		reply.Usage = ro.aggregate.ReportFor(args.Name, args.Applied)
+	}
+}
--- /dev/null
+++ b/coordinator/store_test.go
@@ -0,0 +1,241 @@
+package coordinator
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"rattanline.example/rattanline/port"
+)
+
+// store is an in-memory key-value service with leases, watches, outages, lost
+// responses and a count of calls.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]port.Entry
+	leases   map[int64]lease
+	keys     map[string]int64 // lease of a key
+	events   []port.Event
+	changed  chan struct{}
+	closed   chan struct{}
+	next     int64
+	down     bool
+	lose     int // responses of writes to lose
+	compact  int64
+	blocked  map[string]bool
+	frozen   map[string]chan struct{}
+	calls    map[string]int
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+func newStore() *store {
+	return &store{
+		revision: 1, entries: map[string]port.Entry{}, leases: map[int64]lease{}, keys: map[string]int64{},
+		changed: make(chan struct{}), closed: make(chan struct{}), blocked: map[string]bool{},
+		frozen: map[string]chan struct{}{}, calls: map[string]int{},
+	}
+}
+
+func (s *store) close() { close(s.closed) }
+
+func (s *store) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) outage(down bool)          { s.set(func() { s.down = down }) }
+func (s *store) block(name string, b bool) { s.set(func() { s.blocked[name] = b }) }
+func (s *store) loseResponses(n int)       { s.set(func() { s.lose = n }) }
+func (s *store) compactAll() { s.set(func() { s.compact, s.events = s.revision, nil }) }
+
+func (s *store) put(key string, value []byte) {
+	s.set(func() { s.apply(port.Write{Key: key, Value: value}) })
+}
+
+func (s *store) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, n := range s.calls {
+		sum += n
+	}
+	return sum
+}
+
+func (s *store) apply(w port.Write) {
+	s.revision++
+	e := port.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
+	if w.Delete {
+		delete(s.entries, w.Key)
+	} else {
+		s.entries[w.Key] = e
+		s.keys[w.Key] = w.Lease
+	}
+	s.events = append(s.events, port.Event{Entry: e, Deleted: w.Delete})
+}
+
+// expire ends leases that are due. They don't expire during an outage.
+func (s *store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		s.drop(id)
+	}
+}
+
+func (s *store) drop(id int64) {
+	delete(s.leases, id)
+	for key, owner := range s.keys {
+		if _, ok := s.entries[key]; ok && owner == id {
+			s.apply(port.Write{Key: key, Delete: true})
+		}
+	}
+}
+
+// client is one daemon's connection.
+type client struct {
+	store *store
+	name  string
+}
+
+func (c *client) do(ctx context.Context, kind string, f func(s *store)) error {
+	s := c.store
+	s.mu.Lock()
+	s.calls[kind]++
+	frozen, down := s.frozen[c.name], s.down || s.blocked[c.name]
+	s.mu.Unlock()
+	if frozen != nil {
+		// A call of a frozen daemon takes effect when it resumes, even if its
+		// deadline has passed by then: it may be on its way already.
+		<-frozen
+	}
+	if down {
+		select {
+		case <-ctx.Done():
+		case <-time.After(300 * time.Millisecond):
+		}
+		return port.ErrUnavailable
+	}
+	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	f(s)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.lose > 0 && kind != "get" && kind != "list" {
+		s.lose--
+		return port.ErrOutcomeUnknown
+	}
+	return ctx.Err()
+}
+
+func (c *client) Get(ctx context.Context, key string) (e port.Entry, err error) {
+	err = c.do(ctx, "get", func(s *store) { e = s.entries[key] })
+	return e, err
+}
+
+func (c *client) List(ctx context.Context, prefix string) (es []port.Entry, err error) {
+	err = c.do(ctx, "list", func(s *store) {
+		for key, e := range s.entries {
+			if strings.HasPrefix(key, prefix) {
+				es = append(es, e)
+			}
+		}
+	})
+	return es, err
+}
+
+func (c *client) Commit(ctx context.Context, t port.Transaction) (r port.Result, err error) {
+	err = c.do(ctx, "commit", func(s *store) {
+		r = port.Result{Committed: true, Revision: s.revision}
+		for _, cond := range t.Conditions {
+			if s.entries[cond.Key].Revision != cond.Revision {
+				r.Committed = false
+				return
+			}
+		}
+		for _, w := range t.Writes {
+			if _, ok := s.leases[w.Lease]; !ok && w.Lease != 0 {
+				r.Committed = false
+				return
+			}
+			s.apply(w)
+		}
+		r.Revision = s.revision
+	})
+	if err != nil {
+		return port.Result{}, err
+	}
+	return r, nil
+}
+
+func (c *client) GrantLease(ctx context.Context, ttl time.Duration) (id int64, err error) {
+	err = c.do(ctx, "grant", func(s *store) {
+		s.next++
+		id = s.next
+		s.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	})
+	return id, err
+}
+
+func (c *client) RenewLease(ctx context.Context, id int64) (ttl time.Duration, err error) {
+	err = c.do(ctx, "renew", func(s *store) {
+		if l, ok := s.leases[id]; ok {
+			s.leases[id] = lease{ttl: l.ttl, expires: time.Now().Add(l.ttl)}
+			ttl = l.ttl
+		}
+	})
+	return ttl, err
+}
+
+func (c *client) RevokeLease(ctx context.Context, id int64) error {
+	return c.do(ctx, "revoke", func(s *store) { s.drop(id) })
+}
+
+func (c *client) Watch(ctx context.Context, prefix string, after int64, handle func(port.Event)) error {
+	if err := c.do(ctx, "watch", func(*store) {}); err != nil {
+		return err
+	}
+	for {
+		s := c.store
+		s.mu.Lock()
+		var due []port.Event
+		for _, e := range s.events {
+			if e.Entry.Revision > after && strings.HasPrefix(e.Entry.Key, prefix) {
+				due = append(due, e)
+			}
+		}
+		broken, compacted, changed := s.down || s.blocked[c.name], s.compact > after && len(due) == 0, s.changed
+		after = s.revision
+		s.mu.Unlock()
+		if broken {
+			return port.ErrUnavailable
+		}
+		if compacted {
+			return port.ErrCompacted
+		}
+		for _, e := range due {
+			handle(e)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.closed:
+			return port.ErrUnavailable
+		}
+	}
+}
+
+var _ port.KeyValue = (*client)(nil)
--- /dev/null
+++ b/member/follower.go
@@ -0,0 +1,91 @@
+package member
+
+import "time"
+
+// Promise is the follower's side of a follower lease: until it ends, the
+// daemon's lease must not be given to another coordinator.
+type Promise struct {
+	to    string
+	until time.Time
+}
+
+// Allows tells whether the daemon may give its lease to the coordinator.
+func (p Promise) Allows(coordinator string, now time.Time) bool {
+	return p.to == "" || p.to == coordinator || now.After(p.until)
+}
+
+// Extend returns the promise made by a heartbeat sent at the given time.
+func (p Promise) Extend(coordinator string, sent time.Time, lease time.Duration) Promise {
+	return Promise{to: coordinator, until: sent.Add(lease)}
+}
+
+// Release returns no promise if it was made to the coordinator, which has said
+// that it uses the lease no longer.
+func (p Promise) Release(coordinator string) Promise {
+	if p.to == coordinator {
+		return Promise{}
+	}
+	return p
+}
+
+// followerLease is the coordinator's side, bound to one run of the follower.
+type followerLease struct {
+	incarnation string
+	until       time.Time
+}
+
+// Followers holds the follower leases of one coordinator.
+type Followers struct {
+	lease  time.Duration
+	leases map[string]followerLease
+}
+
+// NewFollowers returns an empty set. The lease is counted from the timestamp
+// that the follower echoed, which precedes the start of its promise.
+func NewFollowers(lease time.Duration) *Followers {
+	return &Followers{lease: lease, leases: map[string]followerLease{}}
+}
+
+// Heard records a heartbeat by which the daemon follows this coordinator.
+func (f *Followers) Heard(name, incarnation string, echoed time.Time) {
+	until := echoed.Add(f.lease)
+	if old, ok := f.leases[name]; ok && old.incarnation == incarnation && old.until.After(until) {
+		return
+	}
+	f.leases[name] = followerLease{incarnation: incarnation, until: until}
+}
+
+// Drop ends the lease of a daemon that is gone.
+func (f *Followers) Drop(name string) { delete(f.leases, name) }
+
+// Follows tells whether the lease of this run of the member is held.
+func (f *Followers) Follows(m Member, now time.Time) bool {
+	l, ok := f.leases[m.Name]
+	return ok && l.incarnation == m.Incarnation && now.Before(l.until)
+}
+
+// Share returns the share of the table's counted members that is held. While
+// members are joining, a coordinator that doesn't know of them may hold leases
+// too, so the smaller of the shares with and without them is safe.
+func (f *Followers) Share(t Table, now time.Time) Share {
+	var settled, all Share
+	for _, m := range t.Members {
+		if !m.Counted {
+			continue
+		}
+		held := 0
+		if f.Follows(m, now) {
+			held = 1
+		}
+		all.Counted++
+		all.Leases += held
+		if !m.Joining {
+			settled.Counted++
+			settled.Leases += held
+		}
+	}
+	if all.Leases*settled.Counted < settled.Leases*all.Counted {
+		return all
+	}
+	return settled
+}
--- a/member/table.go
+++ b/member/table.go
@@ -2,7 +2,10 @@
 // follows from them: ownership of targets and the rank of coordinators.
 package member
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // State is the state of a daemon in its domain's member table.
 type State string
@@ -25,6 +28,9 @@
 	State       State
 	// Counted tells that its follower lease counts for the domain's share.
 	Counted bool
+	// Joining tells that a counted member isn't known to all others yet: the
+	// share is the smaller one of those with and without the joining members.
+	Joining bool
 }
 
 // Epoch orders the tables of a domain. Minor counts changes made while the
@@ -90,3 +96,6 @@
 func (t Table) Live() []Member {
 	return slices.DeleteFunc(slices.Clone(t.Members), func(m Member) bool { return m.State != Live })
 }
+
+// String returns the epoch as "revision.minor".
+func (e Epoch) String() string { return fmt.Sprintf("%d.%d", e.Revision, e.Minor) }
