--- /dev/null
+++ b/request/state.go
@@ -0,0 +1,183 @@
+package request
+
+import (
+	"github.com/pkg/errors"
+)
+
+// State is the state of one request at a daemon: one of Queued, Claimed, Sent,
+// Streaming, Done, Refused and Unknown.
+type State interface{ isState() }
+
+// Queued is a request that waits. MayHaveRun tells that an earlier attempt
+// wrote bytes to a target, so that a refusal would not be the whole truth.
+type Queued struct{ MayHaveRun bool }
+
+// Claimed is a non-idempotent request whose key is claimed and that waits.
+type Claimed struct{ Attempt string }
+
+// Sent is a request of which a byte may have been written to a target.
+// MayHaveRun is that of the attempts before this one.
+type Sent struct{ MayHaveRun bool }
+
+// Streaming is a request whose response began to arrive.
+type Streaming struct {
+	Status     int
+	MayHaveRun bool
+}
+
+// Done is a request whose complete response was received.
+type Done struct {
+	Status  int
+	Outcome Outcome
+}
+
+// Refused is a request that was certainly not run.
+type Refused struct{ Refusal *Refusal }
+
+// Unknown is a request that may have been run, without a complete response.
+type Unknown struct{ Cause string }
+
+func (Queued) isState()    {}
+func (Claimed) isState()   {}
+func (Sent) isState()      {}
+func (Streaming) isState() {}
+func (Done) isState()      {}
+func (Refused) isState()   {}
+func (Unknown) isState()   {}
+
+// Event changes the state of a request: one of Claim, Write, Answer, Complete,
+// Retry, Refuse and Lose.
+type Event interface{ isEvent() }
+
+// Claim is the grant of the request's idempotency key.
+type Claim struct{ Attempt string }
+
+// Write tells that a byte may have been written to a target.
+type Write struct{}
+
+// Answer is the head of a response that matches the request.
+type Answer struct{ Status int }
+
+// Complete is the proper end of a response. Trusted tells that the service's
+// configuration takes the status to mean that the request was not run.
+type Complete struct{ Trusted bool }
+
+// Retry puts a request back into the queue. It is allowed for requests that
+// are idempotent or were not written.
+type Retry struct{ Idempotent bool }
+
+// Refuse ends a request that no target will run any more.
+type Refuse struct{ Refusal *Refusal }
+
+// Lose ends a request whose response was lost, cut or dropped.
+type Lose struct{ Cause string }
+
+func (Claim) isEvent()    {}
+func (Write) isEvent()    {}
+func (Answer) isEvent()   {}
+func (Complete) isEvent() {}
+func (Retry) isEvent()    {}
+func (Refuse) isEvent()   {}
+func (Lose) isEvent()     {}
+
+// Next returns the state after the event. Refused, and Done with the outcome
+// not-run, are reached only if no byte was written to any target or a target
+// answered with a trusted status: a refusal after a lost attempt is Unknown.
+func Next(s State, e Event) (State, error) {
+	switch s := s.(type) {
+	case Queued:
+		return s.next(e)
+	case Claimed:
+		return s.next(e)
+	case Sent:
+		return s.next(e)
+	case Streaming:
+		return s.next(e)
+	}
+	return s, errors.Errorf("event %T after the end %T", e, s)
+}
+
+func (s Queued) next(e Event) (State, error) {
+	switch e := e.(type) {
+	case Claim:
+		if s.MayHaveRun {
+			return s, errors.New("claim of a request that may have run")
+		}
+		return Claimed(e), nil
+	case Write:
+		return Sent(s), nil
+	case Retry:
+		return s, nil
+	case Refuse:
+		if s.MayHaveRun {
+			return Unknown{Cause: e.Refusal.Detail}, nil
+		}
+		return Refused(e), nil
+	case Lose:
+		if s.MayHaveRun {
+			return Unknown(e), nil
+		}
+	}
+	return s, invalid(s, e)
+}
+
+func (s Claimed) next(e Event) (State, error) {
+	switch e := e.(type) {
+	case Write:
+		return Sent{}, nil
+	case Retry:
+		return s, nil
+	case Refuse:
+		return Refused(e), nil
+	}
+	return s, invalid(s, e)
+}
+
+func (s Sent) next(e Event) (State, error) {
+	switch e := e.(type) {
+	case Write:
+		return s, nil
+	case Answer:
+		return Streaming{Status: e.Status, MayHaveRun: s.MayHaveRun}, nil
+	case Retry:
+		if e.Idempotent {
+			return Queued{MayHaveRun: true}, nil
+		}
+	case Refuse:
+		return Unknown{Cause: e.Refusal.Detail}, nil
+	case Lose:
+		return Unknown(e), nil
+	}
+	return s, invalid(s, e)
+}
+
+func (s Streaming) next(e Event) (State, error) {
+	switch e := e.(type) {
+	case Complete:
+		return Done{Status: s.Status, Outcome: s.Outcome(e.Trusted)}, nil
+	case Retry:
+		if e.Idempotent {
+			return Queued{MayHaveRun: true}, nil
+		}
+	case Refuse:
+		return Unknown{Cause: e.Refusal.Detail}, nil
+	case Lose:
+		return Unknown(e), nil
+	}
+	return s, invalid(s, e)
+}
+
+func invalid(s State, e Event) error { return errors.Errorf("event %T in state %T", e, s) }
+
+// Outcome tells what the complete response would say of the request. An
+// overload or server error that isn't trusted leaves it open whether it ran.
+func (s Streaming) Outcome(trusted bool) Outcome {
+	switch {
+	case trusted && !s.MayHaveRun:
+		return OutcomeNotRun
+	case trusted, s.Status == 429, s.Status >= 500:
+		return OutcomeUnknown
+	default:
+		return OutcomeRan
+	}
+}
