--- /dev/null
+++ b/link/tls_test.go
@@ -0,0 +1,122 @@
+package link
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(c *qt.C) *authority {
+	a := &authority{}
+	a.key, a.cert = a.sign(c, &x509.Certificate{
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	})
+	return a
+}
+
+func (a *authority) sign(c *qt.C, t *x509.Certificate) (*ecdsa.PrivateKey, *x509.Certificate) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	t.SerialNumber = big.NewInt(time.Now().UnixNano())
+	t.NotBefore, t.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		parent, signer = t, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, parent, &key.PublicKey, signer)
+	c.Assert(err, qt.IsNil)
+	cert, err := x509.ParseCertificate(der)
+	c.Assert(err, qt.IsNil)
+	return key, cert
+}
+
+// write issues a certificate and writes it with the authority of its peers.
+func (a *authority) write(c *qt.C, f *TLSFiles, peers *authority) {
+	key, cert := a.sign(c, &x509.Certificate{
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	})
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	c.Assert(err, qt.IsNil)
+	for name, b := range map[string]*pem.Block{
+		f.Certificate: {Type: "CERTIFICATE", Bytes: cert.Raw},
+		f.Key:         {Type: "PRIVATE KEY", Bytes: der},
+		f.Authority:   {Type: "CERTIFICATE", Bytes: peers.cert.Raw},
+	} {
+		c.Assert(os.WriteFile(name, pem.EncodeToMemory(b), 0o600), qt.IsNil)
+	}
+}
+
+func newFiles(c *qt.C) *TLSFiles {
+	d := c.TempDir()
+	return &TLSFiles{
+		Certificate: filepath.Join(d, "cert.pem"), Key: filepath.Join(d, "key.pem"),
+		Authority: filepath.Join(d, "authority.pem"),
+	}
+}
+
+func serverConfig(c *qt.C, f *TLSFiles) *tls.Config {
+	t, err := f.Server()
+	c.Assert(err, qt.IsNil)
+	return t
+}
+
+func clientOf(c *qt.C, f *TLSFiles) *Client {
+	t, err := f.Client()
+	c.Assert(err, qt.IsNil)
+	return newClient(c, &Client{TLS: t})
+}
+
+func TestMutualTLS(t *testing.T) {
+	c := qt.New(t)
+	ours, theirs := newAuthority(c), newAuthority(c)
+	serverFiles := newFiles(c)
+	ours.write(c, serverFiles, ours)
+	s := &Server{TLS: serverConfig(c, serverFiles)}
+	e, _ := start(c, s)
+	client := func(c *qt.C, own, peers *authority) *Client {
+		f := newFiles(c)
+		own.write(c, f, peers)
+		return clientOf(c, f)
+	}
+
+	c.Run("peers of the same authority talk", func(c *qt.C) {
+		c.Assert(say(client(c, ours, ours), s.Addr()), qt.IsNil)
+	})
+	c.Run("a client of another authority is rejected", func(c *qt.C) {
+		before := e.calls.Load()
+		c.Assert(say(client(c, theirs, ours), s.Addr()), qt.IsNotNil)
+		c.Assert(e.calls.Load(), qt.Equals, before)
+	})
+	c.Run("a client without a certificate is rejected", func(c *qt.C) {
+		l := newClient(c, &Client{TLS: &tls.Config{InsecureSkipVerify: true}})
+		c.Assert(say(l, s.Addr()), qt.ErrorMatches, ".*certificate required.*")
+	})
+	c.Run("a server of another authority is rejected", func(c *qt.C) {
+		c.Assert(say(client(c, ours, theirs), s.Addr()), qt.ErrorMatches, ".*verify server certificate.*")
+	})
+	c.Run("changed files are in force without a restart", func(c *qt.C) {
+		rejected := client(c, theirs, theirs)
+		c.Assert(say(rejected, s.Addr()), qt.IsNotNil)
+		theirs.write(c, serverFiles, theirs)
+		assertSoon(c, func() error { return say(rejected, s.Addr()) })
+	})
+	c.Run("unusable files leave the previous ones in force", func(c *qt.C) {
+		c.Assert(os.WriteFile(serverFiles.Key, []byte("half"), 0o600), qt.IsNil)
+		c.Assert(say(client(c, theirs, theirs), s.Addr()), qt.IsNil)
+	})
+}
