--- a/link/client.go
+++ b/link/client.go
@@ -211,7 +211,8 @@
 		}
 		stream = t
 	}
-	conn := &connection{client: rpc.NewClient(stream), wire: wire}
+	kept := &reasonConn{Conn: stream}
+	conn := &connection{client: rpc.NewClient(kept), wire: wire, stream: kept}
 	conn.used.Store(time.Now().UnixNano())
 	return conn, nil
 }
--- a/link/connection.go
+++ b/link/connection.go
@@ -40,10 +40,26 @@
 	return n, err
 }
 
+// reasonConn keeps the first read error, for instance the TLS alert of a server
+// that rejected the certificate: net/rpc reports later calls as ErrShutdown only.
+type reasonConn struct {
+	net.Conn
+	reason atomic.Pointer[error]
+}
+
+func (c *reasonConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.reason.CompareAndSwap(nil, &err)
+	}
+	return n, err
+}
+
 // connection is one established connection to a peer.
 type connection struct {
 	client *rpc.Client
 	wire   *countingConn
+	stream *reasonConn
 	// proven is set once a reply was received. With TLS 1.3 a client learns
 	// only after its handshake that the server rejected it.
 	proven  atomic.Bool
@@ -91,6 +107,9 @@
 	if p.conn == c {
 		p.conn = nil
 		if !c.proven.Load() {
+			if r := c.stream.reason.Load(); r != nil {
+				err = *r
+			}
 			p.fail(err)
 		}
 	}
