--- /dev/null
+++ b/quarantine/registry_test.go
@@ -0,0 +1,164 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func after(d time.Duration) time.Time { return begin.Add(d) }
+
+const poison = 1
+
+func assertVerdict(c *qt.C, r *Registry, now time.Time, fingerprint uint64, marked, quarantined bool) {
+	c.Helper()
+	c.Assert(r.Marked(now, fingerprint), qt.Equals, marked)
+	c.Assert(r.Quarantined(now, fingerprint), qt.Equals, quarantined)
+}
+
+func TestRules(t *testing.T) {
+	c := qt.New(t)
+	c.Run("the first mark doesn't quarantine", func(c *qt.C) {
+		r := &Registry{}
+		r.Crash(begin, "t1/a", []uint64{poison, 2, 3})
+		assertVerdict(c, r, begin, poison, true, false)
+		assertVerdict(c, r, begin, 4, false, false)
+	})
+	c.Run("the second does if it was alone there", func(c *qt.C) {
+		r := &Registry{}
+		r.Crash(begin, "t1/a", []uint64{poison, 2})
+		r.Crash(after(time.Second), "t2/a", []uint64{poison, 3})
+		assertVerdict(c, r, after(time.Second), poison, true, true)
+		assertVerdict(c, r, after(time.Second), 2, true, false)
+		assertVerdict(c, r, after(time.Second), 3, true, false)
+	})
+	c.Run("the second doesn't beside another marked one, the third always", func(c *qt.C) {
+		r := &Registry{}
+		r.Crash(begin, "t1/a", []uint64{poison, 2})
+		r.Crash(after(time.Second), "t2/a", []uint64{poison, 2})
+		assertVerdict(c, r, after(time.Second), poison, true, false)
+		r.Crash(after(2*time.Second), "t3/a", []uint64{poison, 2})
+		assertVerdict(c, r, after(2*time.Second), poison, true, true)
+	})
+	c.Run("one crash seen by two daemons is one mark", func(c *qt.C) {
+		r, o := &Registry{}, &Registry{}
+		r.Crash(begin, "t1/a", []uint64{poison})
+		o.Crash(after(time.Millisecond), "t1/a", []uint64{poison})
+		r.Merge(begin, o.Marks(begin))
+		c.Assert(r.Marks(begin), qt.HasLen, 1)
+		assertVerdict(c, r, begin, poison, true, false)
+	})
+	c.Run("a marked request of another daemon beside it counts", func(c *qt.C) {
+		r, o := &Registry{}, &Registry{}
+		r.Crash(begin, "t1/a", []uint64{poison})
+		o.Crash(begin, "t1/a", []uint64{2})
+		r.Crash(after(time.Second), "t2/a", []uint64{poison})
+		o.Crash(after(time.Second), "t2/a", []uint64{2})
+		r.Merge(begin, o.Marks(begin))
+		assertVerdict(c, r, after(time.Second), poison, true, false)
+	})
+	c.Run("marks and quarantine expire", func(c *qt.C) {
+		r := &Registry{}
+		r.Crash(begin, "t1/a", []uint64{poison})
+		assertVerdict(c, r, after(period), poison, false, false)
+		r.Crash(after(9*time.Minute), "t2/a", []uint64{poison})
+		assertVerdict(c, r, after(18*time.Minute), poison, true, true)
+		assertVerdict(c, r, after(19*time.Minute), poison, false, false)
+		c.Assert(r.Marks(after(time.Hour)), qt.HasLen, 0)
+	})
+	c.Run("memory is bounded", func(c *qt.C) {
+		r := &Registry{MaxMarks: 10}
+		for i := range 100 {
+			r.Crash(after(time.Duration(i)*time.Second), fmt.Sprint(i), []uint64{uint64(i)})
+		}
+		marks := r.Marks(after(time.Minute))
+		c.Assert(marks, qt.HasLen, 10)
+		c.Assert(marks[0].Fingerprint, qt.Equals, uint64(90))
+	})
+}
+
+// resend sends one poison request for a minute to random daemons, which exchange
+// marks after each 600 ms: three exchange intervals, from a daemon over two
+// coordinators to another. It returns the number of crashes.
+func resend(c *qt.C, daemons []*Registry, pause time.Duration) int {
+	r := rand.New(rand.NewPCG(1, 2))
+	crashes := 0
+	beside := []uint64{}
+	for now := begin; now.Before(after(time.Minute)); now = now.Add(100 * time.Millisecond) {
+		if now.Sub(begin)%(600*time.Millisecond) == 0 {
+			for _, from := range daemons {
+				for _, to := range daemons {
+					to.Merge(now, from.Marks(now))
+				}
+			}
+		}
+		d := daemons[r.IntN(len(daemons))]
+		if now.Sub(begin)%pause != 0 || d.Quarantined(now, poison) {
+			continue
+		}
+		crashes++
+		running := []uint64{poison}
+		for range 7 {
+			running = append(running, uint64(100+len(beside)))
+			beside = append(beside, uint64(100+len(beside)))
+		}
+		d.Crash(now, fmt.Sprintf("target-%d/x", crashes), running)
+	}
+	for _, f := range beside {
+		for _, d := range daemons {
+			c.Assert(d.Quarantined(after(time.Minute), f), qt.IsFalse)
+		}
+	}
+	return crashes
+}
+
+func TestPoisonCrashesFew(t *testing.T) {
+	c := qt.New(t)
+	c.Run("at most three targets", func(c *qt.C) {
+		crashes := resend(c, []*Registry{{}, {}, {}}, time.Second)
+		c.Assert(crashes <= 3, qt.IsTrue, qt.Commentf("%d targets crashed", crashes))
+	})
+	// Resends that overtake the marks meet daemons that don't know of each
+	// other's crashes; each stops by its own second mark.
+	c.Run("at most two a daemon when resends overtake the marks", func(c *qt.C) {
+		crashes := resend(c, []*Registry{{}, {}, {}}, 100*time.Millisecond)
+		c.Assert(crashes <= 6, qt.IsTrue, qt.Commentf("%d targets crashed", crashes))
+	})
+}
+
+// TestMergeOrder guards against daemons that disagree for ever because they
+// learned marks in another order.
+func TestMergeOrder(t *testing.T) {
+	c := qt.New(t)
+	r := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		var marks []Mark
+		for i := range 3 {
+			d := &Registry{}
+			for j := range 4 {
+				running := []uint64{r.Uint64N(4), 4 + r.Uint64N(4)}
+				d.Crash(after(time.Duration(r.IntN(60))*time.Second), fmt.Sprintf("t%d/%d", r.IntN(3), i*j%3), running)
+			}
+			marks = append(marks, d.Marks(begin)...)
+		}
+		now := after(time.Minute)
+		first := &Registry{}
+		first.Merge(now, marks)
+		for range 5 {
+			r.Shuffle(len(marks), func(i, j int) { marks[i], marks[j] = marks[j], marks[i] })
+			next := &Registry{}
+			for _, m := range marks {
+				next.Merge(now, []Mark{m})
+			}
+			c.Assert(next.Marks(now), qt.DeepEquals, first.Marks(now))
+			for f := range uint64(8) {
+				c.Assert(next.Quarantined(now, f), qt.Equals, first.Quarantined(now, f))
+			}
+		}
+	}
+}
