Add the stand-ins of the platform and the targets

Cause: tests and demonstrations need the key-value service, the host list, model engines and plain services with faults, without third-party servers.

Change: package standin and cmd/rattanline-stand-in with the subcommands key-value, host-list, engine and service. The key-value service speaks the etcd v3 HTTP/JSON gateway: ranges, transactions, leases and watches with compaction. The engine decodes a batch of sequences, is cold after a start, resumes cut streams, and puts a digest of prompt and content in each response. The service keeps a ledger of executions. Faults change at run time by POST /admin/fault. Start serves a handler within a test.

Ruled out: an engine whose load report hides its warm-up by default.

--- /dev/null
+++ b/cmd/rattanline-stand-in/command.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/standin"
+)
+
+func newCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:          "rattanline-stand-in",
+		Short:        "Run a stand-in of a system around the fleet",
+		SilenceUsage: true,
+	}
+	c.AddCommand(keyValueCommand(), hostListCommand(), engineCommand(), serviceCommand())
+	return c
+}
+
+// server is what a subcommand runs: a handler whose faults have the type F.
+type server[F any] interface {
+	http.Handler
+	Fault() F
+	SetFault(F) error
+}
+
+// newServerCommand makes a subcommand from a constructor, which is called after
+// the flags were read.
+func newServerCommand[F any](use, short string, makeServer func() server[F]) *cobra.Command {
+	var listen, fault string
+	c := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs,
+	}
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
+	c.Flags().StringVar(&fault, "fault", "", "initial faults, as the JSON body of POST /admin/fault")
+	var common commonFault
+	common.addFlags(c.Flags())
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		log := zerolog.New(c.ErrOrStderr()).With().Timestamp().Str("stand-in", use).Logger()
+		s := makeServer()
+		f := s.Fault()
+		for _, text := range []string{common.json(c.Flags()), fault} {
+			if text == "" {
+				continue
+			}
+			d := json.NewDecoder(strings.NewReader(text))
+			d.DisallowUnknownFields()
+			if err := d.Decode(&f); err != nil {
+				return fmt.Errorf("read faults: %w", err)
+			}
+		}
+		if err := s.SetFault(f); err != nil {
+			return fmt.Errorf("set faults: %w", err)
+		}
+		return standin.Run(c.Context(), listen, s, log)
+	}
+	return c
+}
+
+// commonFault holds the flags of the faults that all stand-ins have.
+type commonFault struct {
+	outage       string
+	delay        time.Duration
+	loseResponse float64
+	seed         uint64
+}
+
+func (f *commonFault) addFlags(s *pflag.FlagSet) {
+	s.StringVar(&f.outage, "outage", "", `"refuse" answers all calls with 503, "close" closes connections`)
+	s.DurationVar(&f.delay, "delay", 0, "delay of each call")
+	s.Float64Var(&f.loseResponse, "lose-response", 0, "probability that a response is lost after the call took effect")
+	s.Uint64Var(&f.seed, "fault-seed", 0, "seed of the faults")
+}
+
+func (f *commonFault) json(s *pflag.FlagSet) string {
+	m := map[string]any{}
+	for name, v := range map[string][2]any{
+		"outage":        {"outage", f.outage},
+		"delay":         {"delay", f.delay.String()},
+		"lose-response": {"lose-response", f.loseResponse},
+		"fault-seed":    {"seed", f.seed},
+	} {
+		if s.Changed(name) {
+			m[v[0].(string)] = v[1]
+		}
+	}
+	data, _ := json.Marshal(m)
+	return string(data)
+}
+
+func keyValueCommand() *cobra.Command {
+	return newServerCommand("key-value", "Key-value service (etcd v3 HTTP/JSON gateway, in memory)",
+		func() server[standin.KeyValueFault] { return standin.NewKeyValue() })
+}
+
+func hostListCommand() *cobra.Command {
+	var lag time.Duration
+	c := newServerCommand("host-list", "Host list, empty until POST /admin/hosts",
+		func() server[standin.HostListFault] {
+			h := standin.NewHostList()
+			f := h.Fault()
+			f.Lag = config.Duration(lag)
+			_ = h.SetFault(f)
+			return h
+		})
+	c.Flags().DurationVar(&lag, "lag", 0, "age of the list")
+	return c
+}
+
+func engineCommand() *cobra.Command {
+	var o standin.EngineOptions
+	c := newServerCommand("engine", "Model engine with OpenAI chat completions",
+		func() server[standin.EngineFault] { return standin.NewEngine(o) })
+	addTargetFlags(c.Flags(), &o.TargetOptions)
+	duration(c.Flags(), &o.PromptTime, "prompt-time", 20*time.Millisecond, "time to the first token")
+	duration(c.Flags(), &o.TokenTime, "token-time", 10*time.Millisecond, "time between tokens of a sequence that decodes alone")
+	duration(c.Flags(), &o.BatchTime, "batch-time", time.Millisecond, "time added for each other sequence of the batch")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the completions")
+	c.Flags().StringVar(&o.CrashText, "crash-text", "", "text in a request's body that crashes the engine")
+	return c
+}
+
+func serviceCommand() *cobra.Command {
+	var o standin.ServiceOptions
+	c := newServerCommand("service", "Plain service with a ledger of executions",
+		func() server[standin.ServiceFault] { return standin.NewService(o) })
+	addTargetFlags(c.Flags(), &o.TargetOptions)
+	duration(c.Flags(), &o.Work, "work", 20*time.Millisecond, "time of one request")
+	return c
+}
+
+func addTargetFlags(s *pflag.FlagSet, o *standin.TargetOptions) {
+	s.IntVar(&o.Capacity, "capacity", 8, "requests that run at once")
+	s.IntVar(&o.MaxWaiting, "max-waiting", 64, "requests that wait, beyond which they are refused")
+	s.IntVar(&o.ColdLimit, "cold-limit", 2, "requests that it bears while cold")
+	duration(s, &o.WarmUp, "warm-up", 5*time.Second, "how long it is cold after a start")
+	s.Float64Var(&o.ColdFactor, "cold-factor", 2, "multiple of its times while cold")
+	s.StringVar(&o.ColdFailure, "cold-failure", standin.ColdRefuse, `failure of requests beyond the cold limit: "refuse", "abort" or "crash"`)
+	s.BoolVar(&o.SilentCold, "silent-cold", false, "hide the warm-up from the load report")
+	duration(s, &o.LoadLag, "load-lag", 200*time.Millisecond, "age of load reports")
+	duration(s, &o.Restart, "restart", 0, "how long it accepts nothing after a crash")
+}
+
+// duration adds a flag for a duration of the configuration's type.
+func duration(s *pflag.FlagSet, d *config.Duration, name string, value time.Duration, usage string) {
+	s.DurationVar((*time.Duration)(d), name, value, usage)
+}
--- /dev/null
+++ b/standin/fault.go
@@ -0,0 +1,157 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"rattanline.example/rattanline/config"
+)
+
+// The kinds of outage.
+const (
+	OutageRefuse = "refuse" // every call is answered with 503
+	OutageClose  = "close"  // every connection is closed without a response
+)
+
+// maxBody bounds request bodies; values of the key-value service have up to a
+// megabyte, which base64 makes longer.
+const maxBody = 16 << 20
+
+// Fault is what all stand-ins can do wrong. It is the body of POST /admin/fault;
+// fields that are left out keep their values.
+type Fault struct {
+	Outage string          `json:"outage"`
+	Delay  config.Duration `json:"delay"`
+	Jitter config.Duration `json:"jitter"`
+	// LoseRequest and LoseResponse are the probabilities that the connection is
+	// closed before the call is run, and after it took effect.
+	LoseRequest  float64 `json:"lose-request"`
+	LoseResponse float64 `json:"lose-response"`
+	// Seed restarts the random numbers when it changes.
+	Seed uint64 `json:"seed"`
+}
+
+func (f Fault) validate() error {
+	switch f.Outage {
+	case "", OutageRefuse, OutageClose:
+		return nil
+	}
+	return fmt.Errorf("outage %q is neither %q nor %q", f.Outage, OutageRefuse, OutageClose)
+}
+
+// injector applies a Fault to calls.
+type injector struct {
+	mu     sync.Mutex
+	fault  Fault
+	source *rand.Rand
+}
+
+func newInjector() *injector {
+	return &injector{source: rand.New(rand.NewPCG(0, 0))}
+}
+
+func (i *injector) get() Fault {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.fault
+}
+
+func (i *injector) set(f Fault) error {
+	if err := f.validate(); err != nil {
+		return err
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if f.Seed != i.fault.Seed {
+		i.source = rand.New(rand.NewPCG(f.Seed, 0))
+	}
+	i.fault = f
+	return nil
+}
+
+// happens draws whether something with the probability happens.
+func (i *injector) happens(probability float64) bool {
+	if probability <= 0 {
+		return false
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.source.Float64() < probability
+}
+
+// before delays the call and returns false if it was answered with 503. It
+// panics with http.ErrAbortHandler, which closes the connection, in an outage of
+// that kind and for lost requests.
+func (i *injector) before(w http.ResponseWriter, r *http.Request) bool {
+	f := i.get()
+	d := f.Delay.Std()
+	if f.Jitter > 0 {
+		i.mu.Lock()
+		d += time.Duration(i.source.Int64N(int64(f.Jitter)))
+		i.mu.Unlock()
+	}
+	if d > 0 {
+		select {
+		case <-time.After(d):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+	// The outage may have begun during the delay.
+	f = i.get()
+	switch {
+	case f.Outage == OutageClose, i.happens(f.LoseRequest):
+		panic(http.ErrAbortHandler)
+	case f.Outage == OutageRefuse:
+		http.Error(w, `{"error":"outage","code":14,"message":"outage"}`, http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+// after closes the connection of a call whose response is lost.
+func (i *injector) after() {
+	if i.happens(i.get().LoseResponse) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// faultHandler answers GET with the faults in force and changes them on POST.
+func faultHandler[T any](get func() T, set func(T) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := get()
+		if r.Method == http.MethodPost {
+			if !readJSON(w, r, &f) {
+				return
+			}
+			if err := set(f); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			f = get()
+		}
+		writeJSON(w, http.StatusOK, f)
+	}
+}
+
+// readJSON decodes a body strictly, so that a misspelt fault isn't overlooked.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, fmt.Sprintf("read body: %v", err), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/lag.go
@@ -0,0 +1,52 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// lagged shows a value as it was some time ago.
+type lagged[T any] struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	history []version[T] // oldest first, at least one after the first set
+}
+
+type version[T any] struct {
+	since time.Time
+	value T
+}
+
+func (l *lagged[T]) setLag(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = d
+}
+
+func (l *lagged[T]) set(now time.Time, v T) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	l.history = append(l.history, version[T]{now, v})
+}
+
+// get returns the value that was current at now less the lag, and its age.
+func (l *lagged[T]) get(now time.Time) (T, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	if len(l.history) == 0 {
+		var zero T
+		return zero, 0
+	}
+	return l.history[0].value, min(l.lag, now.Sub(l.history[0].since))
+}
+
+// prune drops the versions that were replaced before now less the lag.
+func (l *lagged[T]) prune(now time.Time) {
+	n := 0
+	for n+1 < len(l.history) && !l.history[n+1].since.After(now.Add(-l.lag)) {
+		n++
+	}
+	l.history = l.history[n:]
+}
--- /dev/null
+++ b/standin/target_test.go
@@ -0,0 +1,240 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/port"
+)
+
+func ms(n int) config.Duration { return config.Duration(time.Duration(n) * time.Millisecond) }
+
+func newTestEngine(o EngineOptions) *Engine {
+	o.PromptTime, o.TokenTime = ms(10), ms(2)
+	return NewEngine(o)
+}
+
+func prompt(text string, stream bool) string {
+	return fmt.Sprintf(`{"model":"m","stream":%t,"max_tokens":6,"messages":[{"role":"user","content":%q}]}`, stream, text)
+}
+
+func contentOf(c *qt.C, body string) string {
+	c.Helper()
+	var x completion
+	c.Assert(json.Unmarshal([]byte(body), &x), qt.IsNil)
+	return x.Choices[0].Message.Content
+}
+
+// readStream returns the content of a stream, the id of its last event, and
+// whether it ended with the end marker.
+func readStream(c *qt.C, r *http.Response) (content, last string, done bool) {
+	c.Helper()
+	defer func() { _ = r.Body.Close() }()
+	s := bufio.NewScanner(r.Body)
+	for s.Scan() {
+		if id, ok := strings.CutPrefix(s.Text(), "id: "); ok {
+			last = id
+		}
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		if ok && data == "[DONE]" {
+			done = true
+		} else if ok {
+			var x completion
+			c.Assert(json.Unmarshal([]byte(data), &x), qt.IsNil)
+			content += x.Choices[0].Delta.Content
+		}
+	}
+	return content, last, done
+}
+
+// together sends requests at the same time and counts the responses by status.
+func together(c *qt.C, n int, url, body string) map[int]int {
+	var mu sync.Mutex
+	var done sync.WaitGroup
+	got := map[int]int{}
+	for range n {
+		done.Go(func() {
+			status, _ := post(c, url, body)
+			mu.Lock()
+			defer mu.Unlock()
+			got[status]++
+		})
+	}
+	done.Wait()
+	return got
+}
+
+func TestEngineResponses(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEngine(EngineOptions{})
+	url, _ := Start(c, e)
+	completions := url + "/v1/chat/completions"
+	c.Run("a whole response carries its digest", func(c *qt.C) {
+		_, body := post(c, completions, prompt("one two", false))
+		c.Assert(CheckContent("one two", contentOf(c, body)), qt.IsNil)
+		c.Assert(body, qt.Contains, `"usage":{"prompt_tokens":2,"completion_tokens":6,"total_tokens":8}`)
+	})
+	c.Run("the digest shows damage, truncation and swaps", func(c *qt.C) {
+		_, body := post(c, completions, prompt("one two", false))
+		content := contentOf(c, body)
+		c.Assert(CheckContent("another", content), qt.ErrorMatches, ".*another prompt")
+		c.Assert(CheckContent("one two", content[:30]), qt.ErrorMatches, ".*truncated.*")
+		c.Assert(CheckContent("one two", strings.Replace(content, " ", "  ", 1)), qt.IsNotNil)
+	})
+	c.Run("a cut stream is resumed after its last event", func(c *qt.C) {
+		f := e.Fault()
+		f.CutStreams, f.CutStreamAfter = 1, 3
+		c.Assert(e.SetFault(f), qt.IsNil)
+		r, err := http.Post(completions, "application/json", strings.NewReader(prompt("p", true)))
+		c.Assert(err, qt.IsNil)
+		first, last, done := readStream(c, r)
+		c.Assert(last, qt.Equals, "3")
+		c.Assert(done, qt.IsFalse)
+		q, err := http.NewRequest(http.MethodGet, completions+"/"+r.Header.Get("X-Request-Id"), nil)
+		c.Assert(err, qt.IsNil)
+		q.Header.Set("Last-Event-ID", last)
+		r, err = http.DefaultClient.Do(q)
+		c.Assert(err, qt.IsNil)
+		second, last, done := readStream(c, r)
+		c.Assert(CheckContent("p", first+second), qt.IsNil)
+		c.Assert(last, qt.Equals, "8")
+		c.Assert(done, qt.IsTrue)
+	})
+	c.Run("a caller that leaves cancels its sequence", func(c *qt.C) {
+		before := e.Stats()
+		ctx, cancel := context.WithCancel(context.Background())
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, completions, strings.NewReader(prompt("p", true)))
+		c.Assert(err, qt.IsNil)
+		_, err = http.DefaultClient.Do(q)
+		c.Assert(err, qt.IsNil)
+		cancel()
+		time.Sleep(50 * time.Millisecond)
+		c.Assert(e.Stats().Canceled, qt.Equals, before.Canceled+1)
+		c.Assert(e.Stats().InFlight, qt.Equals, 0)
+	})
+}
+
+func TestEngineCold(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEngine(EngineOptions{TargetOptions: TargetOptions{ColdLimit: 2, WarmUp: ms(300)}})
+	url, _ := Start(c, e)
+	completions := url + "/v1/chat/completions"
+	// Guards against a stand-in that tolerates what cold targets don't.
+	c.Run("fails beyond the cold limit until it is warm", func(c *qt.C) {
+		got := together(c, 6, completions, prompt("p", false))
+		c.Assert(got, qt.DeepEquals, map[int]int{200: 2, 503: 4})
+		c.Assert(e.Stats().MaxInFlightCold, qt.Equals, 3)
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(together(c, 6, completions, prompt("p", false)), qt.DeepEquals, map[int]int{200: 6})
+	})
+	c.Run("one request after another never exceeds a limit of one", func(c *qt.C) {
+		e := newTestEngine(EngineOptions{TargetOptions: TargetOptions{ColdLimit: 1, WarmUp: ms(60_000)}})
+		url, _ := Start(c, e)
+		for i := range 20 {
+			post(c, url+"/v1/chat/completions", prompt("p", i%2 == 0))
+		}
+		c.Assert(e.Stats().MaxInFlightCold, qt.Equals, 1)
+	})
+	c.Run("a crash closes all connections and is cold again", func(c *qt.C) {
+		f := e.Fault()
+		f.CrashText = "poison"
+		c.Assert(e.SetFault(f), qt.IsNil)
+		before := e.Stats().Incarnation
+		beside := make(chan int, 1)
+		go func() {
+			status, _ := post(c, completions, prompt("beside", false))
+			beside <- status
+		}()
+		time.Sleep(2 * time.Millisecond)
+		status, _ := post(c, completions, prompt("some poison here", false))
+		c.Assert(status, qt.Equals, 0)
+		c.Assert(<-beside, qt.Equals, 0)
+		c.Assert(e.Stats().Incarnation, qt.Not(qt.Equals), before)
+		c.Assert(e.Stats().Cold, qt.IsTrue)
+	})
+}
+
+func TestLoadReport(t *testing.T) {
+	c := qt.New(t)
+	e := newTestEngine(EngineOptions{TargetOptions: TargetOptions{LoadLag: ms(80)}})
+	url, _ := Start(c, e)
+	running := func() loadReport {
+		r, err := http.Get(url + "/load")
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = r.Body.Close() }()
+		var l loadReport
+		c.Assert(json.NewDecoder(r.Body).Decode(&l), qt.IsNil)
+		return l
+	}
+	time.Sleep(100 * time.Millisecond)
+	go func() {
+		_, _ = http.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(
+			`{"stream":true,"max_tokens":200,"messages":[]}`))
+	}()
+	time.Sleep(40 * time.Millisecond)
+	c.Assert(running().Running, qt.Equals, 0)
+	time.Sleep(80 * time.Millisecond)
+	l := running()
+	c.Assert(l.Running, qt.Equals, 1)
+	c.Assert(l.Age, qt.Equals, int64(80))
+	c.Assert(l.Incarnation, qt.Equals, e.Stats().Incarnation)
+}
+
+func TestService(t *testing.T) {
+	c := qt.New(t)
+	s := NewService(ServiceOptions{})
+	url, _ := Start(c, s)
+	reserve := func(id string) int {
+		status, _ := post(c, url+"/reservations", fmt.Sprintf(`{"id":%q}`, id))
+		return status
+	}
+	set := func(change func(*ServiceFault)) {
+		f := s.Fault()
+		change(&f)
+		c.Assert(s.SetFault(f), qt.IsNil)
+	}
+	c.Assert(reserve("twice"), qt.Equals, 201)
+	c.Assert(reserve("twice"), qt.Equals, 201)
+	set(func(f *ServiceFault) { f.CrashBefore = 1 })
+	c.Assert(reserve("before"), qt.Equals, 0)
+	set(func(f *ServiceFault) { f.CrashAfter = 1 })
+	c.Assert(reserve("after"), qt.Equals, 0)
+	set(func(f *ServiceFault) { f.Refuse = 1 })
+	c.Assert(reserve("refused"), qt.Equals, 503)
+	set(func(f *ServiceFault) { f.Refuse, f.LoseResponse = 0, 1 })
+	c.Assert(reserve("lost"), qt.Equals, 0)
+	// The ledger is the measure of at-most-once: it must show exactly what ran.
+	c.Assert(s.Ledger(), qt.DeepEquals, map[string]int{"twice": 2, "after": 1, "lost": 1})
+	c.Assert(s.Stats().Crashes, qt.Equals, 2)
+}
+
+func TestHostListLags(t *testing.T) {
+	c := qt.New(t)
+	h := NewHostList()
+	url, _ := Start(c, h)
+	list := func() string {
+		r, err := http.Get(url + "/hosts")
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = r.Body.Close() }()
+		var b hostsBody
+		c.Assert(json.NewDecoder(r.Body).Decode(&b), qt.IsNil)
+		return fmt.Sprint(b.Hosts)
+	}
+	post(c, url+"/admin/hosts", `{"hosts":[{"name":"h1","state":"live"}]}`)
+	c.Assert(list(), qt.Equals, "[{h1 live}]")
+	c.Assert(h.SetFault(HostListFault{Lag: ms(100)}), qt.IsNil)
+	h.Set(map[string]port.HostState{"h1": port.HostLeaving})
+	c.Assert(list(), qt.Equals, "[{h1 live}]")
+	time.Sleep(110 * time.Millisecond)
+	c.Assert(list(), qt.Equals, "[{h1 leaving}]")
+}
