--- /dev/null
+++ b/operator/collector_test.go
@@ -0,0 +1,116 @@
+package operator_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/operator"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/timeline"
+)
+
+// slowLink never answers at the address "silent" and takes 100 ms at others.
+type slowLink struct {
+	port.Link
+	active, most atomic.Int32
+}
+
+func (l *slowLink) Call(ctx context.Context, address, method string, args, reply any) error {
+	l.most.Store(max(l.most.Load(), l.active.Add(1)))
+	defer l.active.Add(-1)
+	wait := 100 * time.Millisecond
+	if address == "silent" {
+		wait = time.Hour
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	switch r := reply.(type) {
+	case *operator.StatusReply:
+		r.Version = 5
+	case *operator.EventsReply:
+		r.Events = []timeline.Event{{Daemon: address, Time: time.Now().Round(0)}}
+	}
+	return nil
+}
+
+func view(members int) member.View {
+	v := member.View{}
+	t := member.Table{Domain: "east"}
+	for i := range members {
+		name := fmt.Sprintf("d%03d", i)
+		t = t.With(member.Member{Name: name, Host: "h-" + name, Domain: "east", LinkAddress: name, State: member.Live})
+	}
+	v.Self = t.Members[0]
+	t = t.With(member.Member{Name: "d000", Host: "h", Domain: "east", LinkAddress: "unused", State: member.Live})
+	return v.WithTable(t.With(member.Member{Name: "gone", Domain: "east", LinkAddress: "silent", State: member.Silent}))
+}
+
+// Guards against one silent daemon that delays or hides the others, and against
+// hundreds of calls at once.
+func TestCollector(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &slowLink{}
+		local := &operator.Peer{
+			Report:   func() operator.StatusReply { return operator.StatusReply{Version: 9} },
+			Recorded: func(timeline.Filter) []timeline.Event { return nil },
+		}
+		collector := &operator.Collector{Link: l, View: func() member.View { return view(100) }, Local: local}
+		start := time.Now()
+		status := collector.Status(context.Background())
+		c.Assert(status, qt.HasLen, 101)
+		c.Assert(time.Since(start) <= 2*time.Second, qt.IsTrue)
+		c.Assert(l.most.Load(), qt.Equals, int32(16))
+		for i, h := range status {
+			switch {
+			case i == 0:
+				c.Assert(h.Version, qt.Equals, uint64(9))
+			case h.Daemon == "gone":
+				c.Assert(h.Error, qt.Equals, context.DeadlineExceeded.Error())
+				c.Assert(h.MemberState, qt.Equals, "silent")
+			default:
+				c.Assert(h.Version, qt.Equals, uint64(5))
+				c.Assert(h.Error, qt.Equals, "")
+			}
+		}
+		events := collector.Events(context.Background(), timeline.Filter{})
+		c.Assert(events, qt.HasLen, 100)
+		c.Assert(events[99].Kind, qt.Equals, operator.NoAnswer)
+		c.Assert(collector.Events(context.Background(), timeline.Filter{Host: "h-d042"}), qt.HasLen, 1)
+	})
+}
+
+// Guards against messages that net/rpc or gob refuse.
+func TestPeerOverRPC(t *testing.T) {
+	c := qt.New(t)
+	b := &timeline.Buffer{Daemon: "d1"}
+	b.Record(timeline.Event{Request: "r"})
+	peer := &operator.Peer{
+		Report:   func() operator.StatusReply { return operator.StatusReply{Version: 3, State: "running"} },
+		Recorded: b.Events,
+	}
+	server := rpc.NewServer()
+	c.Assert(server.RegisterName(operator.PeerName, peer), qt.IsNil)
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	client := rpc.NewClient(near)
+	defer client.Close()
+	var status operator.StatusReply
+	c.Assert(client.Call("Peer.Status", operator.StatusArgs{From: "d2"}, &status), qt.IsNil)
+	c.Assert(status, qt.Equals, peer.Report())
+	var events operator.EventsReply
+	c.Assert(client.Call("Peer.Events", operator.EventsArgs{Filter: timeline.Filter{Request: "r"}}, &events), qt.IsNil)
+	c.Assert(events.Events, qt.DeepEquals, b.Events(timeline.Filter{}))
+}
