Add the operators' program rattanline

Cause: operators check, submit and compare configurations, drain domains and read status and events from a shell and from scripts.

Ruled out: telling usage errors apart by their texts. Cobra has no type for them, so every error before a command is entered counts as one.

--- /dev/null
+++ b/command/exit.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// The exit codes of the program.
+const (
+	CodeOK       = 0
+	CodeFailure  = 1 // nothing was changed
+	CodeUsage    = 2 // wrong arguments
+	CodeConflict = 3 // the base version is not the current one
+	CodeUnknown  = 4 // the change may or may not have been accepted
+)
+
+// Exit is an error with an exit code.
+type Exit struct {
+	Code int
+	Err  error
+}
+
+// Error implements error.
+func (e *Exit) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Exit) Unwrap() error { return e.Err }
+
+func usagef(format string, args ...any) error {
+	return &Exit{Code: CodeUsage, Err: fmt.Errorf(format, args...)}
+}
+
+func exitCode(err error, ran bool) int {
+	var exit *Exit
+	switch {
+	case errors.As(err, &exit):
+		return exit.Code
+	case !ran:
+		return CodeUsage
+	default:
+		return CodeFailure
+	}
+}
--- /dev/null
+++ b/command/settings.go
@@ -0,0 +1,19 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"rattanline.example/rattanline/setting"
+)
+
+func settings() *cobra.Command {
+	return described("settings", &cobra.Command{
+		Use: "settings", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			_, err := fmt.Fprint(command.OutOrStdout(), setting.Reference())
+			return err
+		},
+	})
+}
