Adapt the slack and the charge of a grant to the pace of service

Cause: with a fixed slack of two requests nearly each request moved its slot. Between two exchanges each daemon sees its own charges but not those of others, so it takes its accounts to be ahead and returns their slots; all owners then grant them to the account that was lowest at the last exchange.

Change: the slack has a second part, twice what a backlogged account receives in two exchange intervals, measured by the growth of the floor. The owner charges an account for all requests that a granted slot is expected to run until the exchange shows them, not only for one.

Ruled out: a larger fixed slack. 8 requests suit requests of 1 s, but not those of 100 ms, which need more than 16.

--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -45,6 +45,7 @@
 	if t.Result == port.Succeeded {
 		q := usage.Queue{Service: a.job.Service, Account: a.job.Account}
 		d.costs.learn(q, a.job.Cost, t.Cost)
+		d.learnDuration(a.job.Service, t.Total)
 	}
 	d.observeEnd(a.target.Name, t)
 	d.record("request-ended", a.job.RequestID, a.job.Account, a.target.Name, string(t.Result))
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "rattanline.example/rattanline/usage"
+import (
+	"time"
+
+	"rattanline.example/rattanline/usage"
+)
 
 // costWeight is the weight of the newest request in the running means. Cost
 // varies by orders of magnitude between requests, so one must not dominate.
@@ -66,11 +70,24 @@
 	return 0
 }
 
-// expected returns the expected normalised cost of an account's next request.
+// expected returns the normalised cost of what an account is expected to run
+// on a granted slot before the exchange shows it: one request, or several short
+// ones in a row.
 func (d *Dispatcher) expected(service, account string) float64 {
 	cost := d.costs.mean(service)
 	if m := d.costs.queues[usage.Queue{Service: service, Account: account}]; m != nil {
 		cost = m.actual
 	}
+	if duration := d.durations[service]; duration > 0 {
+		cost *= max(1, float64(d.Times.slot().ChargeTime)/float64(duration))
+	}
 	return d.Ledger.Normalise(account, cost)
 }
+
+// learnDuration keeps a running mean of how long requests of a service run.
+func (d *Dispatcher) learnDuration(service string, total time.Duration) {
+	if d.durations[service] == 0 {
+		d.durations[service] = total
+	}
+	d.durations[service] += (total - d.durations[service]) / 16
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -48,24 +48,26 @@
 	Metrics *metrics.Set      // may be nil
 	Times   Times
 
-	once     sync.Once
-	mu       sync.Mutex
-	sends    sync.WaitGroup
-	context  context.Context // ends with Run; bounds messages
-	queues   *fairqueue.Queues[*waiter]
-	owner    *slot.Owner
-	holder   *slot.Holder
-	index    *index
-	costs    costs
-	peers    map[usage.Source]*peer
-	observed map[string]*observation
-	latency  map[string]time.Duration
-	failing  map[string]bool
-	polling  map[string]bool
-	running  int
-	stopping bool
-	dirty    bool // demand, returns or observations may have to be sent
-	metric   metric
+	once      sync.Once
+	mu        sync.Mutex
+	sends     sync.WaitGroup
+	context   context.Context // ends with Run; bounds messages
+	queues    *fairqueue.Queues[*waiter]
+	owner     *slot.Owner
+	holder    *slot.Holder
+	index     *index
+	costs     costs
+	paces     map[string]*pace         // by service
+	durations map[string]time.Duration // by service
+	peers     map[usage.Source]*peer
+	observed  map[string]*observation
+	latency   map[string]time.Duration
+	failing   map[string]bool
+	polling   map[string]bool
+	running   int
+	stopping  bool
+	dirty     bool // demand, returns or observations may have to be sent
+	metric    metric
 }
 
 var _ port.Scheduler = (*Dispatcher)(nil)
@@ -82,6 +84,8 @@
 		d.context = context.Background()
 		d.queues = fairqueue.New[*waiter](d.Ledger.Counter)
 		d.costs = newCosts()
+		d.paces = map[string]*pace{}
+		d.durations = map[string]time.Duration{}
 		d.peers = map[usage.Source]*peer{}
 		d.observed = map[string]*observation{}
 		d.latency = map[string]time.Duration{}
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/dispatch"
 	"rattanline.example/rattanline/measure"
 )
 
@@ -47,11 +48,15 @@
 // run starts a fleet, waits until its owners grant slots, calls the function
 // and ends the fleet. The seed of losses and costs is fixed.
 func run(t *testing.T, daemons int, d config.Document, test func(f *fleet)) {
+	runTimes(t, daemons, d, dispatch.Times{}, test)
+}
+
+func runTimes(t *testing.T, daemons int, d config.Document, times dispatch.Times, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := &fleet{
 			Fleet: &measure.Fleet{
-				Document: d, Domains: domains, Daemons: daemons, Warm: 5 * time.Second,
+				Document: d, Domains: domains, Daemons: daemons, Warm: 5 * time.Second, Times: times,
 				Network: measure.NewNetwork(7, 3*time.Millisecond, 0.01),
 			},
 			c: qt.New(t), ctx: ctx, meter: measure.NewMeter(), rand: rand.New(rand.NewPCG(7, 2)),
--- a/dispatch/holder.go
+++ b/dispatch/holder.go
@@ -30,20 +30,11 @@
 // waiting account with the lowest counter is at most the slack above the floor.
 // Without waiting requests anywhere it is kept for the idle time.
 func (d *Dispatcher) keepOrReturn(now time.Time, s slot.Slot, service string) {
-	if d.stopping || d.index.closed[s.Target] || !d.mayKeep(service) {
+	if d.stopping || d.index.closed[s.Target] || !d.mayKeep(now, service) {
 		d.returnSlot(now, s)
 	}
 }
 
-func (d *Dispatcher) mayKeep(service string) bool {
-	floor, elsewhere := d.Ledger.Floor(service)
-	if !elsewhere {
-		return true
-	}
-	lowest, waiting := d.queues.Lowest(service)
-	return waiting && lowest <= floor+d.Times.Slack*d.costs.mean(service)
-}
-
 func (d *Dispatcher) returnSlot(now time.Time, s slot.Slot) {
 	d.holder.Return(now, s)
 	d.metric.returned.Inc()
--- a/dispatch/times.go
+++ b/dispatch/times.go
@@ -26,6 +26,9 @@
 	// Slack is how far above the floor a holder may continue to use a slot, in
 	// mean request costs of the service.
 	Slack float64
+	// UnseenSlack is added to it, in units of what a backlogged account receives
+	// in two exchange intervals.
+	UnseenSlack float64
 	// DemandFanOut is the largest number of owners told of demand for a service.
 	DemandFanOut int
 }
@@ -49,6 +52,9 @@
 	if t.Slack == 0 {
 		t.Slack = 2
 	}
+	if t.UnseenSlack == 0 {
+		t.UnseenSlack = 2
+	}
 	if t.DemandFanOut == 0 {
 		t.DemandFanOut = 16
 	}
