Send only changes between full renewals

Cause: each change of demand and each returned slot sent the list of all slots.

Change: slot.Renewal has a field Partial. A partial renewal carries returns, demand and observations, its reply only what is new, and no lease is extended. A renewal is full at each renew interval, after a failure and while no full one was answered lately.

Ruled out: inferring a partial renewal from an empty slot list, since a holder that lost all slots sends an empty full one.

--- a/dispatch/holder.go
+++ b/dispatch/holder.go
@@ -21,6 +21,7 @@
 type peer struct {
 	demands map[string]map[string]int // by service and account
 	sent    time.Time
+	full    time.Time // when the last full renewal was sent
 	notSoon time.Time // after a failure
 	granted bool      // slots came since the demand was sent
 	timer   *time.Timer
@@ -121,7 +122,7 @@
 func (d *Dispatcher) renewIfNeeded(now time.Time, source usage.Source, p *peer, demands map[string]map[string]int, holds bool) {
 	urgent := d.urgentFor(source)
 	changed := urgent || d.holder.Unsent(source) || p.lacks(demands)
-	periodic := now.Sub(p.sent) >= d.Times.RenewInterval && (holds || len(demands) > 0 || len(p.demands) > 0)
+	periodic := now.Sub(p.full) >= d.Times.RenewInterval && (holds || len(demands) > 0 || len(p.demands) > 0)
 	if !changed && !periodic {
 		return
 	}
@@ -176,7 +177,10 @@
 }
 
 func (d *Dispatcher) renew(now time.Time, source usage.Source, p *peer, demands map[string]map[string]int) {
-	r := d.holder.Renewal(source)
+	r := d.holder.Renewal(now, source, d.Times.RenewInterval)
+	if !r.Partial {
+		p.full = now
+	}
 	for _, name := range d.queues.Services() {
 		accounts, ok := demands[name]
 		if !ok {
@@ -224,7 +228,7 @@
 		if p != nil {
 			// The owner may lack this demand; it is sent again.
 			p.notSoon = now.Add(retryGap)
-			p.demands = nil
+			p.demands, p.full = nil, time.Time{}
 		}
 		return
 	}
--- a/measure/network.go
+++ b/measure/network.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"encoding/gob"
+	"maps"
 	"math/rand/v2"
 	"net/rpc"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,10 +32,11 @@
 	// Cut tells whether a message between two daemons is lost; may be nil.
 	Cut func(from, to string) bool
 
-	mu    sync.Mutex
-	nodes map[string]*Endpoint
-	wires map[[2]string]*wire
-	rand  *rand.Rand
+	mu      sync.Mutex
+	nodes   map[string]*Endpoint
+	wires   map[[2]string]*wire
+	traffic map[string]Traffic
+	rand    *rand.Rand
 }
 
 // NewNetwork returns a network whose losses follow from the seed.
@@ -41,7 +44,8 @@
 	return &Network{
 		Delay: delay, Loss: loss, Retransmission: 200 * time.Millisecond,
 		nodes: map[string]*Endpoint{}, wires: map[[2]string]*wire{},
-		rand: rand.New(rand.NewPCG(seed, 1)),
+		traffic: map[string]Traffic{},
+		rand:    rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
@@ -88,15 +92,27 @@
 	}
 }
 
-// Bytes returns what each daemon sent to other failure domains so far.
-func (n *Network) Bytes() map[string]int64 {
+// Traffic is what a daemon sent to other failure domains, in bytes.
+type Traffic struct {
+	Slots    int64 // renewals, grants and their replies
+	Exchange int64 // reports between coordinators
+}
+
+// Traffic returns what each daemon sent to other failure domains so far.
+func (n *Network) Traffic() map[string]Traffic {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	sum := map[string]int64{}
-	for pair, w := range n.wires {
-		sum[pair[0]] += w.bytes
+	return maps.Clone(n.traffic)
+}
+
+func (n *Network) count(from, method string, bytes int64) {
+	t := n.traffic[from]
+	if strings.HasPrefix(method, "Coordinator.") {
+		t.Exchange += bytes
+	} else {
+		t.Slots += bytes
 	}
-	return sum
+	n.traffic[from] = t
 }
 
 // Handle registers a method; call it before the daemon runs.
@@ -104,7 +120,7 @@
 
 // Call implements port.Link.
 func (e *Endpoint) Call(ctx context.Context, address, method string, args, reply any) error {
-	peer, err := e.network.transmit(ctx, e, address, &rpc.Request{ServiceMethod: method}, args)
+	peer, err := e.network.transmit(ctx, e, address, method, &rpc.Request{ServiceMethod: method}, args)
 	if err != nil {
 		return err
 	}
@@ -117,15 +133,15 @@
 	if failure != nil {
 		response.Error = failure.Error()
 	}
-	if _, err := e.network.transmit(ctx, peer, e.Name, response, reply); err != nil {
+	if _, err := e.network.transmit(ctx, peer, e.Name, method, response, reply); err != nil {
 		return err
 	}
 	return failure
 }
 
 // transmit takes the time of one message and counts its bytes.
-func (n *Network) transmit(ctx context.Context, from *Endpoint, to string, header, body any) (*Endpoint, error) {
-	peer, delay, err := n.route(from, to, header, body)
+func (n *Network) transmit(ctx context.Context, from *Endpoint, to, method string, header, body any) (*Endpoint, error) {
+	peer, delay, err := n.route(from, to, method, header, body)
 	if err != nil {
 		return nil, err
 	}
@@ -148,7 +164,7 @@
 
 func (n *Network) cut(from, to string) bool { return n.Cut != nil && n.Cut(from, to) }
 
-func (n *Network) route(from *Endpoint, to string, header, body any) (*Endpoint, time.Duration, error) {
+func (n *Network) route(from *Endpoint, to, method string, header, body any) (*Endpoint, time.Duration, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	peer := n.nodes[to]
@@ -164,11 +180,13 @@
 		w.encoder = gob.NewEncoder(w)
 		n.wires[[2]string{from.Name, to}] = w
 	}
+	before := w.bytes
 	for _, v := range []any{header, body} {
 		if err := w.encoder.Encode(v); err != nil {
 			return nil, 0, err
 		}
 	}
+	n.count(from.Name, method, w.bytes-before)
 	delay := n.Delay
 	if n.rand.Float64() < n.Loss {
 		delay += n.Retransmission
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -206,11 +206,27 @@
 	}
 }
 
-// Renewal returns the next renewal for an owner.
-func (h *Holder) Renewal(source usage.Source) Renewal {
+// Renewal returns the next renewal for an owner, a full one unless the last
+// full one was answered within the interval.
+func (h *Holder) Renewal(now time.Time, source usage.Source, interval time.Duration) Renewal {
 	o := h.owner(source)
 	h.sequence++
 	r := Renewal{Holder: h.Self, Address: h.Address, Sequence: h.sequence}
+	r.Partial = now.Sub(o.lease) < interval
+	if !r.Partial {
+		h.list(&r, source)
+	}
+	for _, s := range slices.SortedFunc(maps.Keys(o.returned), compareSlots) {
+		if o.returned[s] == 0 {
+			o.returned[s] = h.sequence
+		}
+		r.Returned = append(r.Returned, s)
+	}
+	return r
+}
+
+// list adds the slots at the owner's targets.
+func (h *Holder) list(r *Renewal, source usage.Source) {
 	for _, target := range h.Targets() {
 		if current, ok := h.Owner(target); !ok || current != source {
 			continue
@@ -227,13 +243,6 @@
 			r.States = append(r.States, state)
 		}
 	}
-	for _, s := range slices.SortedFunc(maps.Keys(o.returned), compareSlots) {
-		if o.returned[s] == 0 {
-			o.returned[s] = h.sequence
-		}
-		r.Returned = append(r.Returned, s)
-	}
-	return r
 }
 
 // Reply takes the answer to a renewal that was sent at the given time.
@@ -242,16 +251,35 @@
 	if reply.Owner != source || r.Sequence <= o.acked {
 		return
 	}
-	o.acked, o.lease = r.Sequence, sent
+	o.acked = r.Sequence
 	for s, sequence := range o.returned {
 		if sequence != 0 && sequence <= r.Sequence {
 			delete(o.returned, s)
 		}
 	}
 	h.setStates(reply.States)
+	if !r.Partial {
+		h.extend(source, r, sent, reply.Valid)
+	}
+	for _, s := range reply.Granted {
+		h.accept(now, source, s)
+	}
+	for _, s := range reply.Recalled {
+		h.recall(now, s)
+	}
+	maps.DeleteFunc(h.frozen, func(target string, sequence uint64) bool {
+		current, ok := h.Owner(target)
+		return ok && current == source && r.Sequence > sequence
+	})
+}
+
+// extend renews the lease of the valid slots, and of those granted since the
+// renewal was sent.
+func (h *Holder) extend(source usage.Source, r Renewal, sent time.Time, confirmed []Slot) {
+	h.owner(source).lease = sent
 	until := sent.Add(h.Times.SlotLease)
-	valid := make(map[Slot]bool, len(reply.Valid))
-	for _, s := range reply.Valid {
+	valid := make(map[Slot]bool, len(confirmed))
+	for _, s := range confirmed {
 		valid[s] = true
 		if e := h.slots[s.Target][s]; e != nil {
 			e.until = until
@@ -270,16 +298,6 @@
 			}
 		}
 	}
-	for _, s := range reply.Granted {
-		h.accept(now, source, s)
-	}
-	for _, s := range reply.Recalled {
-		h.recall(now, s)
-	}
-	maps.DeleteFunc(h.frozen, func(target string, sequence uint64) bool {
-		current, ok := h.Owner(target)
-		return ok && current == source && r.Sequence > sequence
-	})
 }
 
 // Grant takes slots and recalls that an owner pushed.
--- a/slot/message.go
+++ b/slot/message.go
@@ -42,6 +42,9 @@
 	Holder   usage.Source
 	Address  string
 	Sequence uint64
+	// Partial renewals carry changes only: Slots is empty, no lease is extended
+	// and the reply has only what is new. They keep the traffic of changes small.
+	Partial  bool
 	Slots    []Held
 	Returned []Slot
 	Demands  []Demand
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -140,6 +140,9 @@
 		o.reportSlot(now, h, s)
 	}
 	o.Decide(now)
+	if r.Partial {
+		return o.news(h), nil
+	}
 	return o.reply(h, reported), nil
 }
 
@@ -182,6 +185,16 @@
 	}
 }
 
+// news returns what was decided for the holder and not sent yet.
+func (o *Owner) news(h *holder) RenewalReply {
+	reply := RenewalReply{Owner: o.Self}
+	if g := o.outbox[h.source]; g != nil {
+		reply.Granted, reply.Recalled, reply.States = g.Slots, g.Recalled, g.States
+		delete(o.outbox, h.source)
+	}
+	return reply
+}
+
 func (o *Owner) reply(h *holder, reported map[Slot]bool) RenewalReply {
 	reply := RenewalReply{Owner: o.Self}
 	for _, name := range slices.Sorted(maps.Keys(o.targets)) {
