Start no message after the dispatcher has ended

Cause: a request that ended after Run returned started a message while Run waited for the last ones: a data race of the wait group.

Change: messages start only while Run has not ended.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -66,6 +66,7 @@
 	polling   map[string]bool
 	running   int
 	stopping  bool
+	ended     bool // Run has returned or is about to
 	dirty     bool // demand, returns or observations may have to be sent
 	metric    metric
 }
@@ -124,10 +125,21 @@
 	g.Go(func() error { return d.every(ctx, d.Times.Tick, d.tick) })
 	g.Go(func() error { return d.every(ctx, d.Times.LoadInterval, d.poll) })
 	err := g.Wait()
+	d.mu.Lock()
+	d.ended = true
+	d.mu.Unlock()
 	d.sends.Wait()
 	return err
 }
 
+// spawn runs the function beside the dispatcher, unless Run has ended: a
+// request that ends later finds no one to tell. The dispatcher is locked.
+func (d *Dispatcher) spawn(call func()) {
+	if !d.ended {
+		d.sends.Go(call)
+	}
+}
+
 // every calls the function periodically until the context ends.
 func (d *Dispatcher) every(ctx context.Context, interval time.Duration, call func()) error {
 	ticker := time.NewTicker(interval)
--- a/dispatch/holder.go
+++ b/dispatch/holder.go
@@ -208,7 +208,7 @@
 // send calls a remote owner.
 func (d *Dispatcher) send(source usage.Source, r slot.Renewal, sent time.Time) {
 	address, base := d.index.address[source], d.context
-	d.sends.Go(func() {
+	d.spawn(func() {
 		ctx, cancel := context.WithTimeout(base, d.Times.SlotLease)
 		defer cancel()
 		var reply slot.RenewalReply
--- a/dispatch/owner.go
+++ b/dispatch/owner.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		base := d.context
-		d.sends.Go(func() {
+		d.spawn(func() {
 			ctx, cancel := context.WithTimeout(base, d.Times.SlotLease)
 			defer cancel()
 			var done bool
@@ -52,7 +52,7 @@
 
 func (d *Dispatcher) pollTarget(t config.Target) {
 	base := d.context
-	d.sends.Go(func() {
+	d.spawn(func() {
 		ctx, cancel := context.WithTimeout(base, d.Times.LoadInterval)
 		defer cancel()
 		load, err := d.Load(ctx, t)
