--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -48,24 +48,27 @@
 	Metrics *metrics.Set      // may be nil
 	Times   Times
 
-	once     sync.Once
-	mu       sync.Mutex
-	sends    sync.WaitGroup
-	context  context.Context // ends with Run; bounds messages
-	queues   *fairqueue.Queues[*waiter]
-	owner    *slot.Owner
-	holder   *slot.Holder
-	index    *index
-	costs    costs
-	peers    map[usage.Source]*peer
-	observed map[string]*observation
-	latency  map[string]time.Duration
-	failing  map[string]bool
-	polling  map[string]bool
-	running  int
-	stopping bool
-	dirty    bool // demand, returns or observations may have to be sent
-	metric   metric
+	once      sync.Once
+	mu        sync.Mutex
+	sends     sync.WaitGroup
+	context   context.Context // ends with Run; bounds messages
+	queues    *fairqueue.Queues[*waiter]
+	owner     *slot.Owner
+	holder    *slot.Holder
+	index     *index
+	costs     costs
+	paces     map[string]*pace         // by service
+	durations map[string]time.Duration // by service
+	peers     map[usage.Source]*peer
+	observed  map[string]*observation
+	latency   map[string]time.Duration
+	failing   map[string]bool
+	polling   map[string]bool
+	running   int
+	stopping  bool
+	ended     bool // Run has returned or is about to
+	dirty     bool // demand, returns or observations may have to be sent
+	metric    metric
 }
 
 var _ port.Scheduler = (*Dispatcher)(nil)
@@ -82,6 +85,8 @@
 		d.context = context.Background()
 		d.queues = fairqueue.New[*waiter](d.Ledger.Counter)
 		d.costs = newCosts()
+		d.paces = map[string]*pace{}
+		d.durations = map[string]time.Duration{}
 		d.peers = map[usage.Source]*peer{}
 		d.observed = map[string]*observation{}
 		d.latency = map[string]time.Duration{}
@@ -120,10 +125,21 @@
 	g.Go(func() error { return d.every(ctx, d.Times.Tick, d.tick) })
 	g.Go(func() error { return d.every(ctx, d.Times.LoadInterval, d.poll) })
 	err := g.Wait()
+	d.mu.Lock()
+	d.ended = true
+	d.mu.Unlock()
 	d.sends.Wait()
 	return err
 }
 
+// spawn runs the function beside the dispatcher, unless Run has ended: a
+// request that ends later finds no one to tell. The dispatcher is locked.
+func (d *Dispatcher) spawn(call func()) {
+	if !d.ended {
+		d.sends.Go(call)
+	}
+}
+
 // every calls the function periodically until the context ends.
 func (d *Dispatcher) every(ctx context.Context, interval time.Duration, call func()) error {
 	ticker := time.NewTicker(interval)
--- a/dispatch/holder.go
+++ b/dispatch/holder.go
@@ -21,6 +21,7 @@
 type peer struct {
 	demands map[string]map[string]int // by service and account
 	sent    time.Time
+	full    time.Time // when the last full renewal was sent
 	notSoon time.Time // after a failure
 	granted bool      // slots came since the demand was sent
 	timer   *time.Timer
@@ -30,20 +31,11 @@
 // waiting account with the lowest counter is at most the slack above the floor.
 // Without waiting requests anywhere it is kept for the idle time.
 func (d *Dispatcher) keepOrReturn(now time.Time, s slot.Slot, service string) {
-	if d.stopping || d.index.closed[s.Target] || !d.mayKeep(service) {
+	if d.stopping || d.index.closed[s.Target] || !d.mayKeep(now, service) {
 		d.returnSlot(now, s)
 	}
 }
 
-func (d *Dispatcher) mayKeep(service string) bool {
-	floor, elsewhere := d.Ledger.Floor(service)
-	if !elsewhere {
-		return true
-	}
-	lowest, waiting := d.queues.Lowest(service)
-	return waiting && lowest <= floor+d.Times.Slack*d.costs.mean(service)
-}
-
 func (d *Dispatcher) returnSlot(now time.Time, s slot.Slot) {
 	d.holder.Return(now, s)
 	d.metric.returned.Inc()
@@ -130,7 +122,7 @@
 func (d *Dispatcher) renewIfNeeded(now time.Time, source usage.Source, p *peer, demands map[string]map[string]int, holds bool) {
 	urgent := d.urgentFor(source)
 	changed := urgent || d.holder.Unsent(source) || p.lacks(demands)
-	periodic := now.Sub(p.sent) >= d.Times.RenewInterval && (holds || len(demands) > 0 || len(p.demands) > 0)
+	periodic := now.Sub(p.full) >= d.Times.RenewInterval && (holds || len(demands) > 0 || len(p.demands) > 0)
 	if !changed && !periodic {
 		return
 	}
@@ -185,7 +177,10 @@
 }
 
 func (d *Dispatcher) renew(now time.Time, source usage.Source, p *peer, demands map[string]map[string]int) {
-	r := d.holder.Renewal(source)
+	r := d.holder.Renewal(now, source, d.Times.RenewInterval)
+	if !r.Partial {
+		p.full = now
+	}
 	for _, name := range d.queues.Services() {
 		accounts, ok := demands[name]
 		if !ok {
@@ -213,7 +208,7 @@
 // send calls a remote owner.
 func (d *Dispatcher) send(source usage.Source, r slot.Renewal, sent time.Time) {
 	address, base := d.index.address[source], d.context
-	d.sends.Go(func() {
+	d.spawn(func() {
 		ctx, cancel := context.WithTimeout(base, d.Times.SlotLease)
 		defer cancel()
 		var reply slot.RenewalReply
@@ -233,7 +228,7 @@
 		if p != nil {
 			// The owner may lack this demand; it is sent again.
 			p.notSoon = now.Add(retryGap)
-			p.demands = nil
+			p.demands, p.full = nil, time.Time{}
 		}
 		return
 	}
