Add the callers' HTTP handler

Intake checks key, service, path, body and headers before anything waits.

Ruled out: httputil.ReverseProxy (not allowed, retries and outcomes need the parts), and claiming after the slot was granted (the slot would stay idle for the platform's round trips).

--- /dev/null
+++ b/frontend/claimed.go
@@ -0,0 +1,117 @@
+package frontend
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"rattanline.example/rattanline/claim"
+	"rattanline.example/rattanline/request"
+)
+
+const (
+	// Bounds the wait for a claim, so that an outage of the platform doesn't
+	// hold requests for all of their time.
+	claimTimeout   = 3 * time.Second
+	releaseTimeout = 2 * time.Second
+	maxClaims      = 3 // each takes over a claim that was not sent
+	maxUnsent      = 256
+)
+
+// claimKey claims the idempotency key and tells whether the request may be
+// sent. If not, the call has ended.
+func (c *call) claimKey(ctx context.Context) bool {
+	limit := c.account.MaxQueued
+	if limit == 0 {
+		limit = maxUnsent
+	}
+	if !c.handler.running.addUnsent(c, limit) {
+		c.refuse(&request.Refusal{Reason: request.QueueFull, Detail: "too many claimed requests wait", RetryAfter: time.Second})
+		return false
+	}
+	for range maxClaims {
+		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+		decision, err := c.handler.Claims.Claim(claimCtx, c.claim)
+		cancel()
+		if err != nil {
+			refusal := &request.Refusal{Reason: request.ClaimUnavailable, Detail: "the idempotency key can't be claimed now", RetryAfter: 2 * time.Second}
+			if c.caller.Err() != nil {
+				refusal = c.refusalOf(ctx, err)
+			}
+			c.handler.Logger.Warn().Err(err).Str("request", c.id).Msg("claim failed")
+			c.refuse(refusal)
+			return false
+		}
+		switch d := decision.(type) {
+		case claim.Granted:
+			c.next(request.Claim{Attempt: c.claim.Attempt.String()})
+			c.granted, c.out.keep = true, true
+			return true
+		case claim.Mismatch:
+			c.refuse(&request.Refusal{Reason: request.KeyReused, Detail: "the idempotency key was used with another request"})
+			return false
+		case claim.Full:
+			c.refuse(&request.Refusal{Reason: request.ClaimsFull, Detail: "no room for idempotency keys", RetryAfter: 10 * time.Second})
+			return false
+		case claim.Duplicate:
+			c.handler.running.sent(c) // it waits for another request, not for a slot
+			if c.replay(ctx, d) {
+				return false
+			}
+			c.claim.Supersedes, c.claim.Attempt = d.Attempt, claim.NewAttempt()
+		}
+	}
+	c.refuse(&request.Refusal{Reason: request.ClaimUnavailable, Detail: "other requests with the same key are being refused", RetryAfter: time.Second})
+	return false
+}
+
+// replay answers a resend with the response to the earlier request. It returns
+// false if that request was not sent.
+func (c *call) replay(ctx context.Context, d claim.Duplicate) bool {
+	earlier, err := c.handler.Claims.Await(ctx, c.claim, d)
+	if err != nil {
+		c.next(request.Resend{})
+		c.timeout = ctx.Err() != nil
+		c.lose("the response to the earlier request can't be had: " + err.Error())
+		return true
+	}
+	switch e := earlier.(type) {
+	case claim.Answered:
+		c.next(request.Resend{})
+		header := maps.Clone(e.Answer.Header)
+		outcome := request.Outcome(header.Get(OutcomeHeader))
+		c.next(request.Replay{Status: e.Answer.Status, Outcome: outcome})
+		c.out.stage(e.Answer.Status, header, outcome, false)
+		c.out.staged.body = e.Answer.Body
+		c.out.commit(false)
+		return true
+	case claim.Lost:
+		c.next(request.Resend{})
+		c.lose(e.Cause)
+		return true
+	default:
+		return false
+	}
+}
+
+// settleClaim gives the claim back if the request was not run, and keeps its
+// response for resends otherwise.
+func (c *call) settleClaim(outcome request.Outcome) {
+	if !c.granted {
+		return
+	}
+	if outcome != request.OutcomeNotRun {
+		cause := "the response was not kept"
+		if u, ok := c.state.(request.Unknown); ok {
+			cause = u.Cause
+		}
+		c.handler.Claims.Finish(c.claim, c.out.answer(request.ProblemOfUnknown(c.id, request.Unknown{Cause: cause}, c.timeout)))
+		return
+	}
+	_ = c.out.Flush() // the caller need not wait for the release
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.caller), releaseTimeout)
+	defer cancel()
+	if err := c.handler.Claims.Release(ctx, c.claim); err != nil {
+		c.handler.Logger.Warn().Err(err).Str("request", c.id).Msg("claim not released")
+	}
+}
--- /dev/null
+++ b/frontend/intake.go
@@ -0,0 +1,227 @@
+package frontend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/claim"
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/request"
+	"rattanline.example/rattanline/upstream"
+)
+
+const (
+	defaultTimeout = 60 * time.Second
+	maxKeyLength   = 255
+)
+
+func malformed(format string, args ...any) *request.Refusal {
+	return &request.Refusal{Reason: request.Malformed, Detail: fmt.Sprintf(format, args...)}
+}
+
+// intake reads the request and checks everything that needs no other daemon.
+func (c *call) intake(w http.ResponseWriter, r *http.Request) *request.Refusal {
+	h := c.handler
+	if !r.ProtoAtLeast(1, 1) {
+		return malformed("HTTP/1.1 is needed: a cut response could not be shown in %s", r.Proto)
+	}
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	account, known := h.Configuration.AccountByKey(strings.TrimSpace(key))
+	if !strings.EqualFold(scheme, "Bearer") || !known {
+		return &request.Refusal{Reason: request.Unauthenticated, Detail: "missing or wrong key"}
+	}
+	c.account = account
+	if h.Refuse != nil {
+		if refusal := h.Refuse(); refusal != nil {
+			c.out.closing = refusal.Reason == request.Stopping
+			return refusal
+		}
+	}
+	if refusal := c.readBody(w, r); refusal != nil {
+		return refusal
+	}
+	if refusal := c.route(r); refusal != nil {
+		return refusal
+	}
+	return c.readHeaders(r.Header)
+}
+
+func (c *call) readBody(w http.ResponseWriter, r *http.Request) *request.Refusal {
+	limit := c.handler.MaxBody
+	if limit == 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength > limit {
+		c.out.closing = true
+		return &request.Refusal{Reason: request.TooLarge, Detail: fmt.Sprintf("body longer than %d bytes", limit)}
+	}
+	if r.ContentLength == 0 {
+		return nil
+	}
+	_ = c.out.control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	// The server watches the connection for the caller's departure by reading.
+	_ = c.out.control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &request.Refusal{Reason: request.TooLarge, Detail: fmt.Sprintf("body longer than %d bytes", limit)}
+	case err != nil:
+		c.out.closing = true
+		return malformed("read body: %v", err)
+	}
+	c.body = body
+	return nil
+}
+
+// readAll avoids the copies of io.ReadAll where the length is known.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// route finds the service, and the path at its targets.
+func (c *call) route(r *http.Request) *request.Refusal {
+	c.method, c.query = r.Method, r.URL.RawQuery
+	name, kind := "", config.Model
+	if r.URL.Path == "/v1/chat/completions" {
+		if r.Method != http.MethodPost {
+			return malformed("chat completions need POST")
+		}
+		var err error
+		if c.chat, err = parseChat(c.body); err != nil {
+			return malformed("%v", err)
+		}
+		name, c.path = c.chat.Model, "/v1/chat/completions"
+	} else {
+		kind = config.Plain
+		var err error
+		if name, c.path, err = parseServicePath(r.URL.EscapedPath()); err != nil {
+			return malformed("%v", err)
+		}
+	}
+	service, ok := c.handler.Configuration.Service(name)
+	if !ok || service.Kind != kind {
+		return &request.Refusal{Reason: request.UnknownService, Detail: fmt.Sprintf("unknown service %q", name)}
+	}
+	if !slices.Contains(c.account.Services, service.Name) {
+		return &request.Refusal{Reason: request.Forbidden, Detail: fmt.Sprintf("service %q not allowed", name)}
+	}
+	c.service = service
+	return nil
+}
+
+// chat is the part of a chat completions request that is looked at.
+type chat struct {
+	Model               string `json:"model"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+}
+
+func parseChat(body []byte) (chat, error) {
+	var parsed chat
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return chat{}, fmt.Errorf("read chat completions request: %w", err)
+	}
+	if parsed.Model == "" {
+		return chat{}, errors.New("chat completions request without model")
+	}
+	parsed.MaxTokens = max(parsed.MaxTokens, parsed.MaxCompletionTokens, 0)
+	return parsed, nil
+}
+
+// parseServicePath splits "/services/name/rest" and refuses paths that could
+// leave the service's part of its target.
+func parseServicePath(escaped string) (name, path string, err error) {
+	rest, ok := strings.CutPrefix(escaped, "/services/")
+	if !ok {
+		return "", "", errors.Errorf("path %q of no service", escaped)
+	}
+	name, path, _ = strings.Cut(rest, "/")
+	if name, err = url.PathUnescape(name); err != nil || name == "" {
+		return "", "", errors.Errorf("path %q without service name", escaped)
+	}
+	plain, err := url.PathUnescape(path)
+	if err != nil {
+		return "", "", fmt.Errorf("path %q: %w", escaped, err)
+	}
+	for segment := range strings.FieldsFuncSeq(plain, func(r rune) bool { return r == '/' || r == '\\' }) {
+		if segment == "." || segment == ".." {
+			return "", "", errors.Errorf("path %q with dot segments", escaped)
+		}
+	}
+	return name, "/" + path, nil
+}
+
+// readHeaders takes deadline, urgency, hint and idempotency key.
+func (c *call) readHeaders(header http.Header) *request.Refusal {
+	timeout := c.service.Timeout.Std()
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if s := header.Get(DeadlineHeader); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || ms <= 0 {
+			return malformed("%s: %q is not a positive number", DeadlineHeader, s)
+		}
+		if ms < timeout.Milliseconds() {
+			timeout = time.Duration(ms) * time.Millisecond
+		}
+	}
+	c.deadline = c.arrived.Add(timeout)
+	switch s := header.Get(UrgencyHeader); s {
+	case "", "urgent":
+		c.urgent = true
+	case "deferrable":
+	default:
+		return malformed("%s: %q is neither urgent nor deferrable", UrgencyHeader, s)
+	}
+	if s := header.Get(CostHintHeader); s != "" {
+		hint, err := strconv.ParseFloat(s, 64)
+		if err != nil || hint <= 0 || math.IsInf(hint, 0) || math.IsNaN(hint) {
+			return malformed("%s: %q is not a positive number", CostHintHeader, s)
+		}
+		c.hint = hint
+	}
+	c.idempotent = request.Idempotent(c.method, c.service)
+	key := header.Get(KeyHeader)
+	if !c.idempotent {
+		if key == "" || len(key) > maxKeyLength || len(header.Values(KeyHeader)) > 1 {
+			return malformed("a request that isn't idempotent needs one %s of at most %d bytes", KeyHeader, maxKeyLength)
+		}
+		c.claim = claim.Request{
+			Account: c.account.Name, Key: key, Attempt: claim.NewAttempt(),
+			Body: claim.NewDigest([]byte(c.service.Name), []byte(c.method), []byte(c.path), []byte(c.query), c.body),
+		}
+	}
+	// Keys of callers and ids of resumed streams belong to this listener.
+	c.header = upstream.PassedHeaders(
+		header, "Authorization", KeyHeader, "X-Idempotency-Key", "Last-Event-Id", "Content-Length", request.AttemptHeader, request.IncarnationHeader,
+	)
+	if key != "" {
+		// Two accounts may choose the same key; the target must not mix them up.
+		c.header.Set(KeyHeader, claim.NewDigest([]byte(c.account.Name), []byte(key)).String())
+	}
+	content := c.service.Name
+	if c.service.Kind == config.Plain {
+		// Many plain requests have no body; the path is their content.
+		content = strings.Join([]string{content, c.method, c.path, c.query}, " ")
+	}
+	c.fingerprint = request.Fingerprint(c.account.Name, content, c.body)
+	return nil
+}
--- a/request/state.go
+++ b/request/state.go
@@ -46,7 +46,7 @@
 func (Unknown) isState()   {}
 
 // Event changes the state of a request: one of Claim, Write, Answer, Complete,
-// Retry, Refuse and Lose.
+// Retry, Refuse, Resend, Replay and Lose.
 type Event interface{ isEvent() }
 
 // Claim is the grant of the request's idempotency key.
@@ -63,12 +63,22 @@
 type Complete struct{ Trusted bool }
 
 // Retry puts a request back into the queue. It is allowed for requests that
-// are idempotent or were not written.
-type Retry struct{ Idempotent bool }
+// are idempotent or were not written. NotRun tells that the target answered
+// with a trusted status.
+type Retry struct{ Idempotent, NotRun bool }
 
 // Refuse ends a request that no target will run any more.
 type Refuse struct{ Refusal *Refusal }
 
+// Resend tells that an earlier request with the same key was granted its claim.
+type Resend struct{}
+
+// Replay ends a resend with the response to the earlier request.
+type Replay struct {
+	Status  int
+	Outcome Outcome
+}
+
 // Lose ends a request whose response was lost, cut or dropped.
 type Lose struct{ Cause string }
 
@@ -78,6 +88,8 @@
 func (Complete) isEvent() {}
 func (Retry) isEvent()    {}
 func (Refuse) isEvent()   {}
+func (Resend) isEvent()   {}
+func (Replay) isEvent()   {}
 func (Lose) isEvent()     {}
 
 // Next returns the state after the event. Refused, and Done with the outcome
@@ -113,6 +125,12 @@
 			return Unknown{Cause: e.Refusal.Detail}, nil
 		}
 		return Refused(e), nil
+	case Resend:
+		return Queued{MayHaveRun: true}, nil
+	case Replay:
+		if s.MayHaveRun {
+			return Done(e), nil
+		}
 	case Lose:
 		if s.MayHaveRun {
 			return Unknown(e), nil
@@ -157,7 +175,7 @@
 		return Done{Status: s.Status, Outcome: s.Outcome(e.Trusted)}, nil
 	case Retry:
 		if e.Idempotent {
-			return Queued{MayHaveRun: true}, nil
+			return Queued{MayHaveRun: s.MayHaveRun || !e.NotRun}, nil
 		}
 	case Refuse:
 		return Unknown{Cause: e.Refusal.Detail}, nil
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -215,7 +215,7 @@
 	switch {
 	case errors.As(err, &w):
 		result.Result, result.CallerGone = port.Canceled, true
-	case errors.As(err, &b):
+	case errors.As(err, &b), errors.Is(err, errUnframed), errors.Is(err, errCut):
 		result.Result = port.Failed
 	}
 	return result
