Bound what a link client remembers of its peers

Cause: peers and their byte counters grew with the number of addresses ever seen, 64 idle connections were fewer than a daemon's peers in the largest fleet, and a connection could be closed as idle between its lookup and its use.

Change: a peer whose connection is closed as idle, or that failed more than a minute ago, is forgotten with its counters; counters over all peers remain. A call is pending from the lookup on. MaxIdle is 128 by default.

Ruled out: repeating calls that failed on a connection which this client closed, since they may have been sent.

Measured: go test -race -count=10 ./link passes, with a new test of 800 calls to four peers with one idle connection.

--- a/link/client.go
+++ b/link/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"reflect"
+	"sort"
 	"sync"
 	"time"
 
@@ -22,6 +23,18 @@
 // call was not sent.
 var ErrDisconnected = errors.New("peer not connected")
 
+// peerMemory is how long the failures of an address are remembered.
+const peerMemory = time.Minute
+
+// Names of the byte counters of a peer, with its address as label.
+const (
+	sentBytes     = "rattanline_link_sent_bytes_total{peer=%q}"
+	receivedBytes = "rattanline_link_received_bytes_total{peer=%q}"
+)
+
+// errForgotten tells that a peer was forgotten between its lookup and its use.
+var errForgotten = errors.New("peer forgotten")
+
 // Client calls methods of other daemons over one connection per address. The
 // exported fields are set before the first call.
 type Client struct {
@@ -31,7 +44,8 @@
 	// Timeout bounds calls whose context has no deadline, and dialing; zero
 	// means one second.
 	Timeout time.Duration
-	// MaxIdle bounds the connections without a running call; zero means 64.
+	// MaxIdle bounds the connections without a running call; zero means 128,
+	// more than a daemon's coordinator, owners and holders in the largest fleet.
 	MaxIdle int
 	// Metrics receives the counters; nil means the default set.
 	Metrics *metrics.Set
@@ -40,6 +54,8 @@
 	delays *delays
 	mu     sync.Mutex
 	peers  map[string]*peer
+	// sent and received count all peers, also those forgotten since.
+	sent, received *metrics.Counter
 }
 
 func (c *Client) init() {
@@ -47,9 +63,11 @@
 		c.Timeout = time.Second
 	}
 	if c.MaxIdle == 0 {
-		c.MaxIdle = 64
+		c.MaxIdle = 128
 	}
 	c.Metrics = metricsSet(c.Metrics)
+	c.sent = c.Metrics.GetOrCreateCounter("rattanline_link_client_sent_bytes_total")
+	c.received = c.Metrics.GetOrCreateCounter("rattanline_link_client_received_bytes_total")
 	c.delays = newDelays(c.Fault)
 	c.peers = map[string]*peer{}
 }
@@ -84,6 +102,10 @@
 	for attempt := 0; ; attempt++ {
 		p := c.peer(address)
 		conn, err := c.connect(ctx, p, address)
+		if errors.Is(err, errForgotten) {
+			attempt--
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -103,7 +125,6 @@
 }
 
 func (c *Client) send(ctx context.Context, p *peer, conn *connection, method string, args, reply any) error {
-	conn.pending.Add(1)
 	defer conn.pending.Add(-1)
 	conn.used.Store(time.Now().UnixNano())
 	before := conn.wire.total.Load()
@@ -136,26 +157,29 @@
 	defer c.mu.Unlock()
 	p := c.peers[address]
 	if p == nil {
-		label := func(name string) *metrics.Counter {
-			return c.Metrics.GetOrCreateCounter(fmt.Sprintf("%s{peer=%q}", name, address))
-		}
 		p = &peer{
 			backoff:  newBackoff(),
-			sent:     label("rattanline_link_sent_bytes_total"),
-			received: label("rattanline_link_received_bytes_total"),
+			sent:     c.Metrics.GetOrCreateCounter(fmt.Sprintf(sentBytes, address)),
+			received: c.Metrics.GetOrCreateCounter(fmt.Sprintf(receivedBytes, address)),
 		}
 		c.peers[address] = p
 	}
 	return p
 }
 
-// connect returns the peer's connection, dialing if there is none. Callers share
+// connect returns the peer's connection with a call pending, dialing if there is
+// none. Callers share
 // one dial, which continues when the context of the first of them ends.
 func (c *Client) connect(ctx context.Context, p *peer, address string) (*connection, error) {
 	for {
 		p.mu.Lock()
+		if p.gone {
+			p.mu.Unlock()
+			return nil, errForgotten
+		}
 		if p.conn != nil {
 			defer p.mu.Unlock()
+			p.conn.pending.Add(1)
 			return p.conn, nil
 		}
 		if p.dialing == nil {
@@ -198,7 +222,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	wire := &countingConn{Conn: raw, sent: p.sent, received: p.received, writeTimeout: c.Timeout}
+	wire := &countingConn{
+		Conn: raw, writeTimeout: c.Timeout,
+		sent:     []*metrics.Counter{p.sent, c.sent},
+		received: []*metrics.Counter{p.received, c.received},
+	}
 	var stream net.Conn = wire
 	if c.delays.fault.active() {
 		stream = newFaultConn(wire, address, c.delays)
@@ -218,36 +246,48 @@
 }
 
 // trim closes the connections that were unused for the longest time, beyond
-// MaxIdle, and forgets their peers.
+// MaxIdle, and forgets their peers and those that failed long ago.
 func (c *Client) trim() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for {
-		idle, oldest := 0, ""
-		var first int64
-		for a, p := range c.peers {
-			p.mu.Lock()
-			conn := p.conn
-			p.mu.Unlock()
-			if conn == nil || conn.pending.Load() > 0 {
-				continue
-			}
-			idle++
-			if used := conn.used.Load(); oldest == "" || used < first {
-				oldest, first = a, used
-			}
-		}
-		if idle <= c.MaxIdle {
-			return
-		}
-		p := c.peers[oldest]
+	unused := map[string]int64{}
+	var addresses []string
+	for a, p := range c.peers {
 		p.mu.Lock()
 		conn := p.conn
-		p.conn = nil
+		stale := conn == nil && p.dialing == nil && time.Since(p.retryAt) > peerMemory
 		p.mu.Unlock()
-		conn.close()
-		delete(c.peers, oldest)
+		if stale {
+			c.forget(a)
+		}
+		if conn != nil && conn.pending.Load() == 0 {
+			unused[a] = conn.used.Load()
+			addresses = append(addresses, a)
+		}
+	}
+	sort.Slice(addresses, func(i, j int) bool { return unused[addresses[i]] < unused[addresses[j]] })
+	for _, a := range addresses[:max(0, len(addresses)-c.MaxIdle)] {
+		c.forget(a)
+	}
+}
+
+// forget removes a peer and its counters, so that neither grows with the number
+// of addresses ever seen.
+func (c *Client) forget(address string) {
+	p := c.peers[address]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dialing != nil || p.conn != nil && p.conn.pending.Load() > 0 {
+		return // used since it was looked at
+	}
+	p.gone = true
+	if p.conn != nil {
+		p.conn.close()
+		p.conn = nil
 	}
+	delete(c.peers, address)
+	c.Metrics.UnregisterMetric(fmt.Sprintf(sentBytes, address))
+	c.Metrics.UnregisterMetric(fmt.Sprintf(receivedBytes, address))
 }
 
 // Close closes all connections. Calls that run fail.
--- a/link/connection.go
+++ b/link/connection.go
@@ -14,7 +14,7 @@
 // countingConn counts the bytes on the wire, below TLS.
 type countingConn struct {
 	net.Conn
-	sent, received *metrics.Counter
+	sent, received []*metrics.Counter
 	// writeTimeout bounds each write, so that a stalled peer doesn't block the
 	// connection for all callers.
 	writeTimeout time.Duration
@@ -23,7 +23,9 @@
 
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.received.Add(n)
+	for _, m := range c.received {
+		m.Add(n)
+	}
 	c.total.Add(int64(n))
 	return n, err
 }
@@ -33,7 +35,9 @@
 		_ = c.SetWriteDeadline(time.Now().Add(c.writeTimeout))
 	}
 	n, err := c.Conn.Write(p)
-	c.sent.Add(n)
+	for _, m := range c.sent {
+		m.Add(n)
+	}
 	if err != nil {
 		_ = c.Conn.Close()
 	}
@@ -78,6 +82,7 @@
 type peer struct {
 	mu      sync.Mutex
 	conn    *connection
+	gone    bool // forgotten by the client, which has or will have another
 	dialing chan struct{}
 	failed  error
 	retryAt time.Time
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -160,7 +161,7 @@
 	assertSoon(c, func() error {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if len(l.peers) > 3 {
+		if len(l.peers) > 2 {
 			return context.DeadlineExceeded
 		}
 		return nil
@@ -205,3 +206,27 @@
 		assertSoon(c, func() error { return say(l, s.Addr()) })
 	})
 }
+
+// TestConcurrentCalls guards against calls that fail because another one made the
+// client forget their peer.
+func TestConcurrentCalls(t *testing.T) {
+	c := qt.New(t)
+	l := newClient(c, &Client{MaxIdle: 1})
+	var done sync.WaitGroup
+	var failed atomic.Int64
+	for range 4 {
+		s := &Server{}
+		start(c, s)
+		for range 4 {
+			done.Go(func() {
+				for range 50 {
+					if say(l, s.Addr()) != nil {
+						failed.Add(1)
+					}
+				}
+			})
+		}
+	}
+	done.Wait()
+	c.Assert(failed.Load(), qt.Equals, int64(0))
+}
--- a/link/server.go
+++ b/link/server.go
@@ -35,7 +35,7 @@
 	listener       net.Listener
 	conns          map[net.Conn]bool
 	serving        sync.WaitGroup
-	sent, received *metrics.Counter
+	sent, received []*metrics.Counter
 }
 
 // Register makes the receiver's methods callable as "name.Method". It is called
@@ -92,8 +92,8 @@
 	}
 	s.conns = map[net.Conn]bool{}
 	set := metricsSet(s.Metrics)
-	s.sent = set.GetOrCreateCounter("rattanline_link_server_sent_bytes_total")
-	s.received = set.GetOrCreateCounter("rattanline_link_server_received_bytes_total")
+	s.sent = []*metrics.Counter{set.GetOrCreateCounter("rattanline_link_server_sent_bytes_total")}
+	s.received = []*metrics.Counter{set.GetOrCreateCounter("rattanline_link_server_received_bytes_total")}
 	l := s.listener
 	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
