Add the claim log and its service

A non-idempotent request may be sent once only, whichever daemons its resends reach. The decision part plans a transaction for a batch of operations over one shard; its conditions (newest segment unchanged, no successor) make every writer fail that knows another state. The driver batches what waits for a shard, sends operations to the shard's owner and writes itself without it. After a lost response the shard is read again: the attempt is found, or the next write takes the revision that a late one would need. Decisions without a write are checked by an empty transaction, which is far shorter than reading up to one megabyte.

An attempt that was refused counts as not sent at its daemon for good, so a write that takes effect after the refusal is taken over by the next resend (Supersedes). Segment 0 is emptied instead of deleted: a daemon that read the shard before its first claim would find its condition true again. Requests with a claim end within 5 minutes, half of the expiry, since one sent after its claim has expired could run beside its resend.

--- /dev/null
+++ b/claim/fleet_test.go
@@ -0,0 +1,279 @@
+package claim_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/claim"
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/usage"
+)
+
+// memory is a key-value service in memory with faults.
+type memory struct {
+	port.KeyValue
+	mu       sync.Mutex
+	revision int64
+	values   map[string]port.Entry
+	down     bool
+	writes   int
+	// fault is consulted at each write: "lost" loses the response, "late" also
+	// lets the write take effect later, "dropped" lets it never do.
+	fault func() string
+}
+
+func newMemory() *memory {
+	return &memory{values: map[string]port.Entry{}, fault: func() string { return "" }}
+}
+
+func (m *memory) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *memory) List(_ context.Context, prefix string) ([]port.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, port.ErrUnavailable
+	}
+	var entries []port.Entry
+	for key, e := range m.values {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(x, y port.Entry) int { return strings.Compare(x.Key, y.Key) })
+	return entries, nil
+}
+
+func (m *memory) Commit(_ context.Context, t port.Transaction) (port.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return port.Result{}, port.ErrUnavailable
+	}
+	switch m.fault() {
+	case "lost":
+		m.commit(t)
+		return port.Result{}, port.ErrOutcomeUnknown
+	case "dropped":
+		return port.Result{}, port.ErrOutcomeUnknown
+	case "late":
+		time.AfterFunc(30*time.Millisecond, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.commit(t)
+		})
+		return port.Result{}, port.ErrOutcomeUnknown
+	}
+	return m.commit(t), nil
+}
+
+func (m *memory) commit(t port.Transaction) port.Result {
+	for _, c := range t.Conditions {
+		if m.values[c.Key].Revision != c.Revision {
+			return port.Result{Revision: m.revision}
+		}
+	}
+	if len(t.Writes) > 0 {
+		m.revision++
+		m.writes++
+	}
+	for _, w := range t.Writes {
+		if delete(m.values, w.Key); !w.Delete {
+			m.values[w.Key] = port.Entry{Key: w.Key, Value: bytes.Clone(w.Value), Revision: m.revision}
+		}
+	}
+	return port.Result{Committed: true, Revision: m.revision}
+}
+
+const maxAnswers = 1 << 20
+
+// fleet connects claim services of several daemons in one process.
+type fleet struct {
+	t      testing.TB
+	memory *memory
+	mu     sync.Mutex
+	nodes  []*node
+	view   member.View
+	cut    bool // links between daemons are down
+}
+
+// node is one daemon; a restart replaces it by one with another incarnation.
+type node struct {
+	*claim.Service
+	fleet  *fleet
+	member member.Member
+	stop   context.CancelFunc
+	dead   bool
+}
+
+// nodeKeyValue keeps a dead daemon from writing.
+type nodeKeyValue struct {
+	*memory
+	node *node
+}
+
+func (k nodeKeyValue) List(ctx context.Context, prefix string) ([]port.Entry, error) {
+	if k.node.isDead() {
+		return nil, port.ErrUnavailable
+	}
+	return k.memory.List(ctx, prefix)
+}
+
+func (k nodeKeyValue) Commit(ctx context.Context, t port.Transaction) (port.Result, error) {
+	if k.node.isDead() {
+		return port.Result{}, port.ErrUnavailable
+	}
+	return k.memory.Commit(ctx, t)
+}
+
+func (n *node) isDead() bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.dead
+}
+
+func newFleet(t testing.TB, size int) *fleet {
+	f := &fleet{t: t, memory: newMemory(), nodes: make([]*node, size)}
+	for i := range size {
+		f.start(i)
+	}
+	return f
+}
+
+var incarnations = func() func() string {
+	var mu sync.Mutex
+	n := 0
+	return func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		return fmt.Sprint("run-", n)
+	}
+}()
+
+func (f *fleet) start(i int) *node {
+	m := member.Member{Name: fmt.Sprint("d", i), Domain: "x", Incarnation: incarnations(), LinkAddress: fmt.Sprint("d", i), State: member.Live}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{fleet: f, member: m, stop: cancel}
+	n.Service = &claim.Service{
+		Self: usage.Source{Daemon: m.Name, Incarnation: m.Incarnation}, KeyValue: nodeKeyValue{f.memory, n}, Link: fleetLink{f, n},
+		View: f.currentView, WriteRate: 500, MaxAnswers: maxAnswers,
+	}
+	f.mu.Lock()
+	f.nodes[i] = n
+	f.view = f.view.WithTable(f.view.Tables["x"].With(m))
+	if f.view.Tables["x"].Domain == "" {
+		f.view = member.View{Tables: map[string]member.Table{"x": {Domain: "x", Members: []member.Member{m}}}}
+	}
+	f.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	f.t.Cleanup(func() { cancel(); <-done })
+	return n
+}
+
+// kill ends a daemon; the others learn of it only from a restart.
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	f.nodes[i].dead = true
+	f.mu.Unlock()
+	f.nodes[i].stop()
+}
+
+func (f *fleet) currentView() member.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *fleet) setCut(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// fleetLink calls receivers with values that went through gob.
+type fleetLink struct {
+	fleet *fleet
+	from  *node
+}
+
+func recode(from, to any) error {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(from); err != nil {
+		return err
+	}
+	return gob.NewDecoder(&b).Decode(to)
+}
+
+func (l fleetLink) Call(ctx context.Context, address, method string, args, reply any) error {
+	l.fleet.mu.Lock()
+	var to *node
+	for _, n := range l.fleet.nodes {
+		if n != nil && n.member.LinkAddress == address && !n.dead && !l.from.dead && !l.fleet.cut {
+			to = n
+		}
+	}
+	l.fleet.mu.Unlock()
+	if to == nil {
+		return errors.New("no connection")
+	}
+	done := make(chan error, 1)
+	var result any
+	go func() {
+		switch method {
+		case "Claim.Append":
+			var a claim.AppendArgs
+			var r claim.AppendReply
+			_ = recode(args, &a)
+			err := to.Receiver().Append(a, &r)
+			result = r
+			done <- err
+		case "Claim.Answer":
+			var a claim.AnswerArgs
+			var r claim.AnswerReply
+			_ = recode(args, &a)
+			err := to.Receiver().Answer(a, &r)
+			result = r
+			done <- err
+		}
+	}()
+	select {
+	case err := <-done:
+		if err != nil || to.isDead() {
+			return errors.New("call failed")
+		}
+		return recode(result, reply)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// faults returns a fault function that draws from the seed.
+func faults(seed uint64, rate float64) func() string {
+	r := rand.New(rand.NewPCG(seed, 1))
+	return func() string {
+		if r.Float64() >= rate {
+			return ""
+		}
+		return []string{"lost", "late", "dropped"}[r.IntN(3)]
+	}
+}
--- /dev/null
+++ b/claim/segment.go
@@ -0,0 +1,206 @@
+package claim
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/usage"
+)
+
+const (
+	prefix = "claims/"
+	// Shards is the number of logs; with 8 writes a second each they stay below
+	// half of the platform's writes.
+	Shards = 32
+	// MaxSegment bounds the value that one append rewrites.
+	MaxSegment = 64 << 10
+	// MaxSegments keeps a shard, read as a whole after a change of owner, under
+	// one megabyte.
+	MaxSegments = 16
+	// MaxBatch keeps the records of one transaction below one segment.
+	MaxBatch = 400
+	// maxName bounds the names of a claiming daemon in the log.
+	maxName = 64
+)
+
+// ShardOf returns the shard of a key.
+func ShardOf(key Digest) int { return int(key[0]) % Shards }
+
+// ShardKey names a shard in the key-value service and for the choice of owner.
+func ShardKey(shard int) string { return fmt.Sprintf("%s%02d/", prefix, shard) }
+
+func segmentKey(shard, number int) string { return fmt.Sprintf("%s%010d", ShardKey(shard), number) }
+
+func parseSegmentKey(shard int, key string) (number int, err error) {
+	rest, ok := strings.CutPrefix(key, ShardKey(shard))
+	if !ok || len(rest) != 10 {
+		return 0, errors.Errorf("segment key %q", key)
+	}
+	if number, err = strconv.Atoi(rest); err != nil || number < 0 {
+		return 0, errors.Errorf("segment key %q", key)
+	}
+	return number, nil
+}
+
+// held is a claim in the log.
+type held struct {
+	body, attempt Digest
+	claimer       usage.Source
+	time          int64 // Unix milliseconds of the writer
+}
+
+// The records of a segment. Claimers are written once a segment.
+const (
+	formatVersion = 1
+	recordClaimer = 1
+	recordClaim   = 2
+	recordRelease = 3
+)
+
+// segment is one value of the log.
+type segment struct {
+	number   int
+	revision int64
+	data     []byte
+	claimers map[usage.Source]uint64
+	newest   int64 // time of the newest claim
+}
+
+func newSegment(number int) segment {
+	return segment{number: number, data: []byte{formatVersion}, claimers: map[usage.Source]uint64{}}
+}
+
+// empty tells that the segment holds no record.
+func (s segment) empty() bool { return len(s.data) <= 1 }
+
+// clone returns a copy that can be appended to.
+func (s segment) clone() segment {
+	claimers := make(map[usage.Source]uint64, len(s.claimers)+1)
+	for c, i := range s.claimers {
+		claimers[c] = i
+	}
+	s.data, s.claimers = append(make([]byte, 0, len(s.data)+1024), s.data...), claimers
+	return s
+}
+
+func appendString(data []byte, s string) []byte {
+	return append(binary.AppendUvarint(data, uint64(len(s))), s...)
+}
+
+func (s *segment) addClaim(key Digest, h held) {
+	i, ok := s.claimers[h.claimer]
+	if !ok {
+		i = uint64(len(s.claimers))
+		s.claimers[h.claimer] = i
+		s.data = append(s.data, recordClaimer)
+		s.data = appendString(appendString(s.data, h.claimer.Daemon), h.claimer.Incarnation)
+	}
+	s.data = append(s.data, recordClaim)
+	s.data = append(append(append(s.data, key[:]...), h.body[:]...), h.attempt[:]...)
+	s.data = binary.AppendVarint(binary.AppendUvarint(s.data, i), h.time)
+	s.newest = max(s.newest, h.time)
+}
+
+func (s *segment) addRelease(key, attempt Digest) {
+	s.data = append(s.data, recordRelease)
+	s.data = append(append(s.data, key[:]...), attempt[:]...)
+}
+
+// maxRecord bounds the bytes of one claim with its claimer.
+const maxRecord = 1 + 2*(2+maxName) + 1 + 3*16 + 2*binary.MaxVarintLen64
+
+// decoder reads a segment's bytes; the first fault stays.
+type decoder struct {
+	data []byte
+	err  error
+}
+
+func (d *decoder) fail(what string) {
+	if d.err == nil {
+		d.err = errors.Errorf("segment with incomplete %s", what)
+	}
+	d.data = nil
+}
+
+func (d *decoder) digest() (g Digest) {
+	if len(d.data) < len(g) {
+		d.fail("digest")
+		return g
+	}
+	d.data = d.data[copy(g[:], d.data):]
+	return g
+}
+
+func (d *decoder) uvarint() uint64 {
+	v, n := binary.Uvarint(d.data)
+	if n <= 0 {
+		d.fail("number")
+		return 0
+	}
+	d.data = d.data[n:]
+	return v
+}
+
+func (d *decoder) varint() int64 {
+	v, n := binary.Varint(d.data)
+	if n <= 0 {
+		d.fail("number")
+		return 0
+	}
+	d.data = d.data[n:]
+	return v
+}
+
+func (d *decoder) string() string {
+	n := d.uvarint()
+	if n > maxName || n > uint64(len(d.data)) {
+		d.fail("name")
+		return ""
+	}
+	s := string(d.data[:n])
+	d.data = d.data[n:]
+	return s
+}
+
+// decode reads the segment's records in order.
+func (s *segment) decode(claim func(Digest, held), release func(key, attempt Digest)) error {
+	if len(s.data) == 0 || s.data[0] != formatVersion {
+		return errors.New("segment of an unknown format")
+	}
+	d := decoder{data: s.data[1:]}
+	var claimers []usage.Source
+	for len(d.data) > 0 {
+		kind := d.data[0]
+		d.data = d.data[1:]
+		switch kind {
+		case recordClaimer:
+			c := usage.Source{Daemon: d.string(), Incarnation: d.string()}
+			s.claimers[c] = uint64(len(claimers))
+			claimers = append(claimers, c)
+		case recordClaim:
+			key, h := d.digest(), held{body: d.digest(), attempt: d.digest()}
+			i := d.uvarint()
+			h.time = d.varint()
+			if i >= uint64(len(claimers)) {
+				d.fail("claimer")
+				break
+			}
+			h.claimer = claimers[i]
+			if d.err == nil {
+				s.newest = max(s.newest, h.time)
+				claim(key, h)
+			}
+		case recordRelease:
+			if key, attempt := d.digest(), d.digest(); d.err == nil {
+				release(key, attempt)
+			}
+		default:
+			d.fail("record")
+		}
+	}
+	return d.err
+}
--- /dev/null
+++ b/claim/service.go
@@ -0,0 +1,205 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"rattanline.example/rattanline/member"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/usage"
+)
+
+// The values that apply where a field of Service is zero.
+const (
+	defaultWriteRate  = 8 // 32 shards then use half of the platform's writes
+	defaultExpiry     = 10 * time.Minute
+	defaultMaxAnswers = 32 << 20
+)
+
+const (
+	// Bounds the wait for an owner. It leaves time to write without it before
+	// the claim's own deadline.
+	ownerTimeout = time.Second
+	// Bounds one wait for a response at another daemon, since net/rpc calls
+	// can't be canceled at the receiver.
+	answerWait  = 2 * time.Second
+	answerPause = 100 * time.Millisecond
+)
+
+// Service claims keys for one daemon and keeps the responses to its claimed
+// requests. Fields are set before Run.
+type Service struct {
+	Self     usage.Source
+	KeyValue port.KeyValue
+	Link     port.Link
+	View     func() member.View
+	// WriteRate is the number of writes a second to one shard.
+	WriteRate float64
+	// Expiry is the time after which a key may be used again.
+	Expiry time.Duration
+	// MaxAnswers bounds the bytes of the responses that are kept.
+	MaxAnswers int64
+	Logger     zerolog.Logger
+
+	once    sync.Once
+	writers [Shards]*writer
+	answers answers
+}
+
+var ownerFallbacks = metrics.NewCounter(`rattanline_claim_owner_fallbacks_total`)
+
+func (s *Service) init() {
+	s.once.Do(func() {
+		if s.WriteRate == 0 {
+			s.WriteRate = defaultWriteRate
+		}
+		if s.Expiry == 0 {
+			s.Expiry = defaultExpiry
+		}
+		if s.MaxAnswers == 0 {
+			s.MaxAnswers = defaultMaxAnswers
+		}
+		s.answers.max = s.MaxAnswers
+		for i := range s.writers {
+			s.writers[i] = newWriter(i, s)
+		}
+	})
+}
+
+// Run writes claims until the context ends.
+func (s *Service) Run(ctx context.Context) error {
+	s.init()
+	if len(s.Self.Daemon) > maxName || len(s.Self.Incarnation) > maxName {
+		return errors.Errorf("name of the daemon longer than %d bytes", maxName)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	for _, w := range s.writers {
+		g.Go(func() error { return w.run(ctx) })
+	}
+	return g.Wait()
+}
+
+// Claim asks for the right to send the request. Without Granted the request
+// must not be sent; the attempt is then known as not sent, whatever the log
+// says of it later.
+func (s *Service) Claim(ctx context.Context, r Request) (Decision, error) {
+	s.init()
+	key := keyDigest(r)
+	// Before the write: a resend elsewhere may see the claim first.
+	s.answers.start(key, r.Attempt)
+	decision, err := s.submit(ctx, Operation{
+		Key: key, Body: r.Body, Attempt: r.Attempt, Supersedes: r.Supersedes, Claimer: s.Self,
+	})
+	if _, granted := decision.(Granted); err != nil || !granted {
+		s.answers.end(time.Now(), s.Expiry, r.Attempt, attemptNotSent, Answer{})
+	}
+	if err != nil {
+		return nil, fmt.Errorf("claim key: %w", err)
+	}
+	return decision, nil
+}
+
+func keyDigest(r Request) Digest { return NewDigest([]byte(r.Account), []byte(r.Key)) }
+
+// Release gives back a claim whose request was certainly not sent.
+func (s *Service) Release(ctx context.Context, r Request) error {
+	s.init()
+	// From here on resends may take the claim over, even if the write fails.
+	s.answers.end(time.Now(), s.Expiry, r.Attempt, attemptNotSent, Answer{})
+	if _, err := s.submit(ctx, Operation{Key: keyDigest(r), Attempt: r.Attempt, Release: true}); err != nil {
+		return fmt.Errorf("release claim: %w", err)
+	}
+	return nil
+}
+
+// Finish keeps the response of a request that was sent, for resends.
+func (s *Service) Finish(r Request, a Answer) {
+	s.answers.end(time.Now(), s.Expiry, r.Attempt, attemptAnswered, a)
+}
+
+// submit hands the operation to the owner of its shard. The write decides, so
+// without the owner this daemon writes itself.
+func (s *Service) submit(ctx context.Context, o Operation) (Decision, error) {
+	shard := ShardOf(o.Key)
+	owner, ok := member.Owner(ShardKey(shard), s.View().Live())
+	if ok && owner.Name != s.Self.Daemon {
+		decision, err := s.submitTo(ctx, owner, o)
+		if err == nil {
+			return decision, nil
+		}
+		ownerFallbacks.Inc()
+		s.Logger.Debug().Err(err).Str("owner", owner.Name).Msg("claim written without the owner")
+	}
+	return s.writers[shard].submit(ctx, o)
+}
+
+func (s *Service) submitTo(ctx context.Context, owner member.Member, o Operation) (Decision, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	var reply AppendReply
+	args := AppendArgs{Operations: []Operation{o}, Wait: ownerTimeout}
+	if err := s.Link.Call(ctx, owner.LinkAddress, "Claim.Append", args, &reply); err != nil {
+		return nil, fmt.Errorf("call owner %s: %w", owner.Name, err)
+	}
+	if len(reply.Results) != 1 {
+		return nil, errors.Errorf("%d results of owner %s", len(reply.Results), owner.Name)
+	}
+	return reply.Results[0].decision()
+}
+
+// Await waits for the response to the request that holds the key.
+func (s *Service) Await(ctx context.Context, r Request, d Duplicate) (Earlier, error) {
+	s.init()
+	key := keyDigest(r)
+	if d.Claimer.Daemon == s.Self.Daemon && d.Claimer != s.Self {
+		return Lost{Cause: "the daemon that sent the request was restarted"}, nil
+	}
+	for {
+		state, answer, err := s.awaitOnce(ctx, key, d)
+		switch {
+		case ctx.Err() != nil && (err != nil || state == attemptRunning):
+			return nil, fmt.Errorf("wait for the earlier request: %w", ctx.Err())
+		case err != nil:
+			m, ok := s.View().Find(d.Claimer.Daemon)
+			if !ok || m.Incarnation != d.Claimer.Incarnation {
+				return Lost{Cause: "the daemon that sent the request is gone"}, nil
+			}
+			select {
+			case <-time.After(answerPause):
+			case <-ctx.Done():
+			}
+		case state == attemptAnswered:
+			return Answered{Answer: answer}, nil
+		case state == attemptNotSent:
+			return NotSent{}, nil
+		case state == attemptLost:
+			return Lost{Cause: "the response is no longer kept"}, nil
+		}
+	}
+}
+
+func (s *Service) awaitOnce(ctx context.Context, key Digest, d Duplicate) (attemptState, Answer, error) {
+	if d.Claimer == s.Self {
+		state, answer := s.answers.wait(ctx, key, d.Attempt)
+		return state, answer, nil
+	}
+	m, ok := s.View().Find(d.Claimer.Daemon)
+	if !ok {
+		return "", Answer{}, errors.Errorf("daemon %s is gone", d.Claimer.Daemon)
+	}
+	var reply AnswerReply
+	args := AnswerArgs{Claimer: d.Claimer, Key: key, Attempt: d.Attempt, Wait: answerWait}
+	ctx, cancel := context.WithTimeout(ctx, answerWait+ownerTimeout)
+	defer cancel()
+	if err := s.Link.Call(ctx, m.LinkAddress, "Claim.Answer", args, &reply); err != nil {
+		return "", Answer{}, fmt.Errorf("call daemon %s: %w", m.Name, err)
+	}
+	return attemptState(reply.State), reply.Answer, nil
+}
--- /dev/null
+++ b/claim/service_test.go
@@ -0,0 +1,214 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattanline.example/rattanline/claim"
+)
+
+var (
+	granted   claim.Decision = claim.Granted{}
+	statusFor                = map[string]int{"one": 201, "two": 202}
+)
+
+func keyed(account, key string) claim.Request {
+	return claim.Request{Account: account, Key: key, Body: claim.NewDigest([]byte("body")), Attempt: claim.NewAttempt()}
+}
+
+func within(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func mustClaim(t testing.TB, n *node, r claim.Request) claim.Decision {
+	t.Helper()
+	d, err := n.Claim(within(t, 5*time.Second), r)
+	qt.Assert(t, err, qt.IsNil)
+	return d
+}
+
+func assertGranted(t testing.TB, n *node, r claim.Request) {
+	t.Helper()
+	qt.Assert(t, mustClaim(t, n, r), qt.Equals, granted)
+}
+
+// await resends at the node and returns what it learns.
+func await(t testing.TB, n *node, r claim.Request, wait time.Duration) (claim.Earlier, error) {
+	t.Helper()
+	r.Attempt = claim.NewAttempt()
+	d, ok := mustClaim(t, n, r).(claim.Duplicate)
+	qt.Assert(t, ok, qt.IsTrue)
+	return n.Await(within(t, wait), r, d)
+}
+
+// Guards against a key that two daemons are granted at once, with and without
+// links, whoever owns its shard.
+func TestOneOfMany(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprint("links cut ", cut), func(t *testing.T) {
+			f := newFleet(t, 3)
+			f.setCut(cut)
+			f.memory.fault = faults(7, 0.3)
+			for k := range 20 {
+				var wg sync.WaitGroup
+				decisions := make([]claim.Decision, 6)
+				for i := range decisions {
+					wg.Go(func() { decisions[i] = mustClaim(t, f.nodes[i%3], keyed("one", fmt.Sprint(k))) })
+				}
+				wg.Wait()
+				n := 0
+				for _, d := range decisions {
+					if d == granted {
+						n++
+					}
+				}
+				qt.Assert(t, n, qt.Equals, 1)
+			}
+		})
+	}
+}
+
+// Guards against a claim that is taken for another's after its response was
+// lost, and against one that is granted although its write never took effect.
+func TestLostResponse(t *testing.T) {
+	for _, fault := range []string{"lost", "late", "dropped"} {
+		t.Run(fault, func(t *testing.T) {
+			f := newFleet(t, 1)
+			failures := 2
+			f.memory.fault = func() string {
+				if failures--; failures >= 0 {
+					return fault
+				}
+				return ""
+			}
+			r := keyed("one", "k")
+			assertGranted(t, f.nodes[0], r)
+			time.Sleep(50 * time.Millisecond) // for the late writes
+			f.kill(0)
+			second := f.start(0) // knows only the log
+			d, ok := mustClaim(t, second, keyed("one", "k")).(claim.Duplicate)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, d.Attempt, qt.Equals, r.Attempt)
+		})
+	}
+}
+
+// Guards against a claim that an outage delays past the caller's deadline, and
+// against a key that stays taken by an attempt that was never sent.
+func TestOutage(t *testing.T) {
+	f := newFleet(t, 2)
+	f.memory.setDown(true)
+	began := time.Now()
+	_, err := f.nodes[0].Claim(within(t, 100*time.Millisecond), keyed("one", "k"))
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, time.Since(began) < time.Second, qt.IsTrue)
+	f.memory.setDown(false)
+	// The write takes effect after the attempt was given up.
+	f.memory.mu.Lock()
+	f.memory.fault = func() string { return "late" }
+	f.memory.mu.Unlock()
+	r := keyed("one", "late")
+	_, err = f.nodes[0].Claim(within(t, 15*time.Millisecond), r)
+	qt.Assert(t, err, qt.IsNotNil)
+	time.Sleep(100 * time.Millisecond)
+	f.memory.mu.Lock()
+	f.memory.fault = func() string { return "" }
+	f.memory.mu.Unlock()
+	for _, n := range f.nodes { // at the same daemon and at another
+		again := keyed("one", "late")
+		if d, ok := mustClaim(t, n, again).(claim.Duplicate); ok {
+			earlier, err := n.Await(within(t, time.Second), again, d)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, earlier, qt.Equals, claim.Earlier(claim.NotSent{}))
+			again.Supersedes, again.Attempt = d.Attempt, claim.NewAttempt()
+			assertGranted(t, n, again)
+		}
+		qt.Assert(t, n.Release(within(t, time.Second), again), qt.IsNil)
+	}
+	assertGranted(t, f.nodes[1], keyed("one", "late"))
+}
+
+// Guards against resends that get no response, the wrong one, or another
+// account's.
+func TestResend(t *testing.T) {
+	f := newFleet(t, 3)
+	requests := map[string]claim.Request{}
+	for account, status := range statusFor {
+		r := keyed(account, "k")
+		requests[account] = r
+		assertGranted(t, f.nodes[0], r)
+		time.AfterFunc(50*time.Millisecond, func() {
+			f.nodes[0].Finish(r, claim.Answer{Status: status, Header: http.Header{"A": {account}}, Body: []byte(account)})
+		})
+	}
+	for i := range f.nodes {
+		for account, status := range statusFor {
+			t.Run(fmt.Sprint(account, " at ", i), func(t *testing.T) {
+				earlier, err := await(t, f.nodes[i], requests[account], time.Second)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, earlier, qt.DeepEquals, claim.Earlier(claim.Answered{Answer: claim.Answer{
+					Status: status, Header: http.Header{"A": {account}}, Body: []byte(account),
+				}}))
+			})
+		}
+	}
+	t.Run("other account", func(t *testing.T) {
+		one, two := requests["one"], requests["two"]
+		d := claim.Duplicate{Claimer: f.nodes[0].Self, Attempt: one.Attempt}
+		for _, n := range f.nodes {
+			earlier, err := n.Await(within(t, time.Second), two, d)
+			qt.Assert(t, err, qt.IsNil)
+			_, lost := earlier.(claim.Lost)
+			qt.Assert(t, lost, qt.IsTrue)
+		}
+	})
+	t.Run("other body", func(t *testing.T) {
+		r := keyed("one", "k")
+		r.Body = claim.NewDigest([]byte("other"))
+		qt.Assert(t, mustClaim(t, f.nodes[1], r), qt.Equals, claim.Decision(claim.Mismatch{}))
+	})
+}
+
+// Guards against resends that wait for ever, or that are told anything but
+// unknown of a request whose daemon is gone.
+func TestResendWithoutAnswer(t *testing.T) {
+	f := newFleet(t, 2)
+	r := keyed("one", "k")
+	assertGranted(t, f.nodes[0], r)
+	for _, n := range f.nodes {
+		_, err := await(t, n, r, 100*time.Millisecond)
+		qt.Assert(t, err, qt.ErrorMatches, ".*deadline exceeded")
+	}
+	f.kill(0)
+	f.start(0)
+	for _, n := range f.nodes {
+		earlier, err := await(t, n, r, 2*time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		_, lost := earlier.(claim.Lost)
+		qt.Assert(t, lost, qt.IsTrue)
+	}
+}
+
+// Guards against unbounded memory for responses; one that was dropped must not
+// look as if its request had not been sent.
+func TestAnswerBound(t *testing.T) {
+	n := newFleet(t, 1).nodes[0]
+	for _, key := range []string{"old", "new"} {
+		r := keyed("one", key)
+		assertGranted(t, n, r)
+		n.Finish(r, claim.Answer{Status: 200, Body: make([]byte, maxAnswers-1000)})
+	}
+	for key, want := range map[string]string{"old": "claim.Lost", "new": "claim.Answered"} {
+		earlier, err := await(t, n, keyed("one", key), time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, fmt.Sprintf("%T", earlier), qt.Equals, want)
+	}
+}
