End idle connections when a stand-in target crashes

Cause: a crash aborted only the connections of running requests. Callers with idle connections never met one that ends as it is reused, which is where net/http repeats requests by itself.

Change: the runner notes when a connection was opened; a target closes those from before its last crash without a response. The command's targets accept nothing for 500 ms after a crash by default.

Ruled out: closing the connections through http.Server, because the handlers are also served by tests on their own.

--- a/cmd/rattanline-stand-in/command.go
+++ b/cmd/rattanline-stand-in/command.go
@@ -148,7 +148,7 @@
 	s.StringVar(&o.ColdFailure, "cold-failure", standin.ColdRefuse, `failure of requests beyond the cold limit: "refuse", "abort" or "crash"`)
 	s.BoolVar(&o.SilentCold, "silent-cold", false, "hide the warm-up from the load report")
 	duration(s, &o.LoadLag, "load-lag", 200*time.Millisecond, "age of load reports")
-	duration(s, &o.Restart, "restart", 0, "how long it accepts nothing after a crash")
+	duration(s, &o.Restart, "restart", 500*time.Millisecond, "how long it accepts nothing after a crash")
 }
 
 // duration adds a flag for a duration of the configuration's type.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -327,7 +327,11 @@
 	e.target.mu.Lock()
 	w.Header().Set("Target-Incarnation", e.current.incarnation)
 	gone := d == nil || d.epoch != e.current
+	closed := e.current.closed(r, time.Now())
 	e.target.mu.Unlock()
+	if closed {
+		panic(http.ErrAbortHandler)
+	}
 	e.label(w, id, e.Fault())
 	last, err := strconv.Atoi(r.Header.Get("Last-Event-ID"))
 	switch {
--- a/standin/run.go
+++ b/standin/run.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatalf("start stand-in: %v", err)
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	s := newServer(handler)
 	go func() { _ = s.Serve(l) }()
 	stop = func() { _ = s.Close() }
 	t.Cleanup(stop)
@@ -51,7 +51,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	log.Info().Str("address", l.Addr().String()).Msg("listening")
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	s := newServer(handler)
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
@@ -71,3 +71,23 @@
 	}
 	return nil
 }
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: 10 * time.Second,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, openedKey{}, time.Now())
+		},
+	}
+}
+
+// openedKey is the context key of the time at which a connection was opened.
+type openedKey struct{}
+
+// openedBefore tells that the request came over a connection from before the
+// time. It is false for handlers that another server runs.
+func openedBefore(r *http.Request, t time.Time) bool {
+	opened, ok := r.Context().Value(openedKey{}).(time.Time)
+	return ok && opened.Before(t)
+}
--- a/standin/target.go
+++ b/standin/target.go
@@ -100,11 +100,18 @@
 	inFlight    int
 	running     int
 	waiting     []chan struct{}
+	began       time.Time // connections from before ended with the crash
 	opens       time.Time
 	coldUntil   time.Time
 	sudden      bool
 }
 
+// closed tells that the request gets no response: the target restarts, or an
+// idle connection is used that the crash ended.
+func (e *epoch) closed(r *http.Request, now time.Time) bool {
+	return now.Before(e.opens) || openedBefore(r, e.began)
+}
+
 func (e *epoch) cold(now time.Time) bool { return now.Before(e.coldUntil) }
 
 // target is the common part of the engine and the plain service.
@@ -126,6 +133,9 @@
 // start begins an epoch after the given time, cold.
 func (t *target) start(now time.Time, pause time.Duration) {
 	e := &epoch{incarnation: uuid.NewString(), opens: now.Add(pause)}
+	if t.current != nil {
+		e.began = now
+	}
 	e.ctx, e.crash = context.WithCancel(context.Background())
 	e.coldUntil = e.opens.Add(t.options.WarmUp.Std())
 	t.current = e
@@ -174,7 +184,7 @@
 	e := t.current
 	t.stats.Requests++
 	w.Header().Set("Target-Incarnation", e.incarnation)
-	if now.Before(e.opens) {
+	if e.closed(r, now) {
 		t.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
@@ -307,12 +317,12 @@
 }
 
 // serveLoad answers GET /load with the state some time ago.
-func (t *target) serveLoad(w http.ResponseWriter, _ *http.Request) {
+func (t *target) serveLoad(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	l, age := t.load.get(now)
 	t.mu.Lock()
 	e := t.current
-	if now.Before(e.opens) {
+	if e.closed(r, now) {
 		t.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/target_test.go
+++ b/standin/target_test.go
@@ -162,6 +162,16 @@
 		c.Assert(e.Stats().Incarnation, qt.Not(qt.Equals), before)
 		c.Assert(e.Stats().Cold, qt.IsTrue)
 	})
+	// Guards against a crash that idle connections survive: callers must cope
+	// with a connection that ends as they reuse it.
+	c.Run("a crash ends idle connections", func(c *qt.C) {
+		post(c, completions, prompt("p", false))
+		e.crash()
+		status, _ := post(c, completions, prompt("p", false))
+		c.Assert(status, qt.Equals, 0)
+		status, _ = post(c, completions, prompt("p", false))
+		c.Assert(status, qt.Equals, http.StatusOK)
+	})
 }
 
 func TestLoadReport(t *testing.T) {
