Add the daemon, an embedded fleet and the demo

Cause: the parts existed without a process that connects them.

Change: package daemon wires listeners, queues, membership, claims and the graceful shutdown; package fleet runs daemons and stand-ins in one process; rattanline demo and the program rattanlined.

--- a/cmd/rattanline/main.go
+++ b/cmd/rattanline/main.go
@@ -5,8 +5,11 @@
 	"os"
 
 	"rattanline.example/rattanline/command"
+	"rattanline.example/rattanline/demo"
 )
 
 func main() {
-	os.Exit(command.Execute(os.Args[1:], os.Stdout, os.Stderr))
+	root := command.Root(os.Stdout, os.Stderr)
+	root.AddCommand(demo.Command())
+	os.Exit(command.Run(root, os.Args[1:]))
 }
--- /dev/null
+++ b/daemon/build.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"rattanline.example/rattanline/claim"
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/coordinator"
+	"rattanline.example/rattanline/dispatch"
+	"rattanline.example/rattanline/frontend"
+	"rattanline.example/rattanline/limit"
+	"rattanline.example/rattanline/operator"
+	"rattanline.example/rattanline/quarantine"
+	"rattanline.example/rattanline/routing"
+	"rattanline.example/rattanline/submission"
+	"rattanline.example/rattanline/timeline"
+	"rattanline.example/rattanline/upstream"
+	"rattanline.example/rattanline/usage"
+)
+
+// retryReserve are the retries allowed before there were requests to earn them.
+const retryReserve = 10
+
+// build creates the parts. It starts nothing.
+func (d *Daemon) build() {
+	s := d.Settings
+	d.metrics = metrics.NewSet()
+	metrics.RegisterSet(d.metrics)
+	d.events = &timeline.Buffer{Daemon: s.Name, Host: s.Host, FailureDomain: s.FailureDomain, Size: s.TimelineEvents}
+	d.poison = &quarantine.Registry{}
+	source := usage.Source{Daemon: d.self.Name, Incarnation: d.self.Incarnation}
+	d.ledger = usage.NewLedger(source, d.share)
+	keyValue := d.keyValue()
+	d.store = &submission.Store{KeyValue: keyValue}
+	targets := &upstream.Client{}
+
+	d.node = &coordinator.Node{
+		Self: d.self, KeyValue: keyValue, HostList: d.hostList(), Link: d.link, Ledger: d.ledger, Peers: s.Peers,
+		Interval: s.ExchangeInterval, CoordinatorLease: s.CoordinatorLease, OwnerLease: s.OwnerLease,
+		FollowerLease: s.FollowerLease, IsolationLimit: s.IsolationLimit,
+		ConfigurationKey: submission.Key, DecodeConfiguration: submission.Decode,
+		Marks:      func() []quarantine.Mark { return d.poison.Marks(time.Now()) },
+		MergeMarks: func(m []quarantine.Mark) { d.poison.Merge(time.Now(), m) },
+		Record:     d.events, Logger: d.Logger,
+	}
+	d.index.load = d.node.Configuration
+	d.dispatch = &dispatch.Dispatcher{
+		Self: source, Domain: s.FailureDomain, Address: d.self.LinkAddress, Ledger: d.ledger, Link: d.link,
+		View: d.node.View, Authority: d.node.Authority, Configuration: d.node.Configuration,
+		HostLeaving: d.node.HostLeaving, Load: targets.Load, NewLimit: newLimit,
+		Choose: chooser(s.LocalitySlack), Record: d.events, Metrics: d.metrics,
+		Times: dispatch.Times{
+			SlotLease: s.SlotLease, OwnerLease: s.OwnerLease, OrphanTime: s.OrphanTime,
+			RenewInterval: s.RenewInterval, ExchangeInterval: s.ExchangeInterval,
+			Slack: s.Slack, DemandFanOut: s.DemandFanOut,
+		},
+	}
+	d.claims = &claim.Service{
+		Self: source, KeyValue: keyValue, Link: d.link, View: d.node.View,
+		WriteRate: float64(s.ClaimWriteRate), Expiry: s.ClaimExpiry,
+	}
+	d.frontend = &frontend.Handler{
+		Scheduler: d.dispatch, Upstream: targets, Claims: d.claims,
+		Configuration: frontend.Configuration{
+			Version:      func() uint64 { return d.index.get().Version() },
+			AccountByKey: func(key string) (config.Account, bool) { return d.index.get().AccountByKey(key) },
+			Service:      func(name string) (config.Service, bool) { return d.index.get().Service(name) },
+		},
+		Refuse: d.refuse, Entries: d.entries, Ready: d.ready, Quarantine: d.poison,
+		RetryBudget: routing.NewBudget(s.RetryRatio, retryReserve),
+		Refresh:     d.node.Refresh, Recorder: d.events, Logger: d.Logger, MaxBody: s.MaxBody,
+	}
+	d.peer = &operator.Peer{Report: d.report, Recorded: d.events.Events}
+	d.collector = &operator.Collector{Link: d.link, View: d.node.View, Local: d.peer}
+}
+
+func newLimit(t config.Target) dispatch.Limit { return limit.New(t.ColdLimit, t.MaxLimit) }
+
+// chooser adapts the choice among targets to the dispatcher, which calls it
+// while locked, so the generator needs no lock of its own.
+func chooser(slack time.Duration) func([]dispatch.Candidate) (dispatch.Candidate, bool) {
+	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return func(candidates []dispatch.Candidate) (dispatch.Candidate, bool) {
+		converted := make([]routing.Candidate, len(candidates))
+		for i, c := range candidates {
+			converted[i] = routing.Candidate(c)
+		}
+		chosen, ok := routing.Choose(converted, slack, r)
+		return dispatch.Candidate(chosen), ok
+	}
+}
+
+// share returns the fair share of an account, one for accounts that the
+// configuration no longer has but whose requests still run.
+func (d *Daemon) share(account string) float64 {
+	if a, ok := d.index.get().Account(account); ok {
+		return a.Share
+	}
+	return 1
+}
+
+// refreshTimeout bounds the wait of an operator or caller for a newer version.
+const refreshTimeout = 2 * time.Second
+
+func (d *Daemon) refreshTo(ctx context.Context, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	return d.node.Refresh(ctx, version)
+}
--- /dev/null
+++ b/daemon/command.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"rattanline.example/rattanline/setting"
+)
+
+//go:embed help.md
+var help string
+
+// The exit codes of the program.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2 // wrong arguments or settings
+)
+
+// usageError is an error of the arguments or settings.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// Execute runs the program with the arguments, without its own name, and
+// returns its exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	var path string
+	entered := false
+	c := &cobra.Command{
+		Use:   "rattanlined --settings FILE",
+		Short: "Run a daemon of the router fleet",
+		Long:  help, Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			entered = true
+			return run(c.Context(), path, stderr)
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "settings file in YAML")
+	_ = c.MarkFlagRequired("settings")
+	c.SetArgs(args)
+	c.SetOut(stdout)
+	c.SetErr(stderr)
+	err := c.ExecuteContext(context.Background())
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(stderr, "rattanlined:", err)
+	if _, usage := err.(usageError); usage || !entered {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+// run runs a daemon until the first signal and stops it in order; the second
+// signal ends the shutdown.
+func run(ctx context.Context, path string, logs io.Writer) error {
+	settings, err := setting.Load(path)
+	if err != nil {
+		return usageError{fmt.Errorf("read settings: %w", err)}
+	}
+	logger := zerolog.New(logs).Level(settings.LogLevel).With().Timestamp().Str("daemon", settings.Name).
+		Str("host", settings.Host).Str("failure-domain", settings.FailureDomain).Logger()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	force := make(chan struct{})
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		close(force)
+	}()
+	d := &Daemon{Settings: settings, Logger: logger, Force: force}
+	if err := d.Run(ctx); err != nil {
+		return fmt.Errorf("run daemon: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/fleet.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/operator"
+	"rattanline.example/rattanline/submission"
+	"rattanline.example/rattanline/timeline"
+)
+
+// fleet is the view of the fleet that the operators' listener gets.
+type fleet struct{ d *Daemon }
+
+var _ operator.Fleet = fleet{}
+
+// Configuration implements operator.Fleet.
+func (f fleet) Configuration() config.Document { return f.d.node.Configuration() }
+
+// Refresh implements operator.Fleet.
+func (f fleet) Refresh(ctx context.Context, version uint64) error {
+	return f.d.refreshTo(ctx, version)
+}
+
+// Submit implements operator.Fleet. After an accepted change the version is
+// fetched at once, so that this daemon never answers with an older one.
+func (f fleet) Submit(ctx context.Context, r submission.Request) (submission.Outcome, error) {
+	outcome, err := f.d.store.Submit(ctx, r)
+	if accepted, ok := outcome.(submission.Accepted); ok {
+		f.d.events.Record(timeline.Event{Kind: "configuration-accepted", Detail: r.Author})
+		if err := f.d.refreshTo(ctx, accepted.Version); err != nil {
+			f.d.Logger.Warn().Err(err).Uint64("version", accepted.Version).Msg("accepted version not yet in force here")
+		}
+	}
+	return outcome, err
+}
+
+// Status implements operator.Fleet.
+func (f fleet) Status(ctx context.Context) []operator.HostStatus { return f.d.collector.Status(ctx) }
+
+// Events implements operator.Fleet.
+func (f fleet) Events(ctx context.Context, filter timeline.Filter) []timeline.Event {
+	return f.d.collector.Events(ctx, filter)
+}
+
+// report returns what this daemon tells of itself.
+func (d *Daemon) report() operator.StatusReply {
+	name, confirmed := d.node.Coordinator()
+	if name != "" && !confirmed {
+		name += " (unconfirmed)"
+	}
+	running, queued := d.dispatch.Count()
+	return operator.StatusReply{
+		Version: d.index.get().Version(), State: d.state(), Incarnation: d.self.Incarnation,
+		Coordinator: name, Running: running, Queued: queued,
+	}
+}
+
+func (d *Daemon) state() string {
+	switch {
+	case d.stopping.Load():
+		return "stopping"
+	case d.isolated():
+		return "isolated"
+	case d.ready() != nil:
+		return "starting"
+	default:
+		return "running"
+	}
+}
