Count sent bytes before the write

Ruled out: a peer entry that was replaced; the counter belongs to the address.

Change: the bytes are added before the write; those of a failed write count too.

Result: go test -count=30 ./link passes.

--- a/link/connection.go
+++ b/link/connection.go
@@ -34,10 +34,11 @@
 	if c.writeTimeout > 0 {
 		_ = c.SetWriteDeadline(time.Now().Add(c.writeTimeout))
 	}
-	n, err := c.Conn.Write(p)
+	// Counted before the write: the peer's reply may be read before Write returns.
 	for _, m := range c.sent {
-		m.Add(n)
+		m.Add(len(p))
 	}
+	n, err := c.Conn.Write(p)
 	if err != nil {
 		_ = c.Conn.Close()
 	}
