Bound parsing of configurations and the collection of events

Cause: fuzzing config.Parse made the YAML library panic on a tag without a value, and 100,000 opening brackets kept it busy for 26 s. A collection of all events of 1,500 daemons would take more than the memory of a daemon, and one with 500 silent daemons would end after the operator's client gave up.

Change: Parse refuses nesting deeper than 64 before parsing and converts panics to errors. It decodes the parsed nodes and no longer parses twice. A collection returns at most 100,000 events, ends after 20 s and asks silent daemons last; events tell what is left out.

Ruled out: another YAML library, because the module file fixes this one.

A collection over 100 live and 400 silent members ends within 21 s of simulated time and has all live ones.

--- a/config/document_test.go
+++ b/config/document_test.go
@@ -81,6 +81,8 @@
 		{"limits", "max-limit: 8", "max-limit: 1", `line 23: targets\[0\].cold-limit: 2 is above .*`},
 		{"missing field", "    url: http://127.0.0.1:9001\n", "", `line 19: targets\[0\].url: .*`},
 		{"empty", valid, "# nothing\n", "the text holds no document"},
+		{"nested brackets", valid, strings.Repeat("[", 1_000_000), `line 1: more than 64 lists or mappings are nested`},
+		{"nested lists", valid, strings.Repeat("- ", 1_000_000), `line 1: more than 64 lists are nested`},
 		{"two documents", "targets:", "---\ntargets:", `.*more than one.*`},
 	} {
 		t.Run(o.name, func(t *testing.T) {
--- a/config/index.go
+++ b/config/index.go
@@ -11,14 +11,14 @@
 // document's size. It is immutable and safe for concurrent use; callers must
 // not change the slices it returns.
 type Index struct {
-	document Document
-	accounts map[string]Account
-	services map[string]Service
-	domains  map[string]FailureDomain
-	targets  map[string]Target
-	byServe  map[string][]Target
-	seed     maphash.Seed
-	byKey    map[uint64][]keyEntry
+	document  Document
+	accounts  map[string]Account
+	services  map[string]Service
+	domains   map[string]FailureDomain
+	targets   map[string]Target
+	byService map[string][]Target
+	seed      maphash.Seed
+	byKey     map[uint64][]keyEntry
 }
 
 type keyEntry struct {
@@ -29,14 +29,14 @@
 // NewIndex prepares the lookups of a valid document. Build it once per version.
 func NewIndex(d Document) *Index {
 	x := &Index{
-		document: d,
-		accounts: make(map[string]Account, len(d.Accounts)),
-		services: make(map[string]Service, len(d.Services)),
-		domains:  make(map[string]FailureDomain, len(d.FailureDomains)),
-		targets:  make(map[string]Target, len(d.Targets)),
-		byServe:  make(map[string][]Target, len(d.Services)),
-		seed:     maphash.MakeSeed(),
-		byKey:    make(map[uint64][]keyEntry, len(d.Accounts)),
+		document:  d,
+		accounts:  make(map[string]Account, len(d.Accounts)),
+		services:  make(map[string]Service, len(d.Services)),
+		domains:   make(map[string]FailureDomain, len(d.FailureDomains)),
+		targets:   make(map[string]Target, len(d.Targets)),
+		byService: make(map[string][]Target, len(d.Services)),
+		seed:      maphash.MakeSeed(),
+		byKey:     make(map[uint64][]keyEntry, len(d.Accounts)),
 	}
 	for _, a := range d.Accounts {
 		x.accounts[a.Name] = a.WithDefaults()
@@ -52,7 +52,7 @@
 	}
 	for _, t := range d.Targets {
 		x.targets[t.Name] = t
-		x.byServe[t.Service] = append(x.byServe[t.Service], t)
+		x.byService[t.Service] = append(x.byService[t.Service], t)
 	}
 	return x
 }
@@ -98,7 +98,7 @@
 }
 
 // TargetsOf returns the targets of the service in the order of the document.
-func (x *Index) TargetsOf(service string) []Target { return x.byServe[service] }
+func (x *Index) TargetsOf(service string) []Target { return x.byService[service] }
 
 // AccountByKey returns the account that the bearer key belongs to. The hash
 // table is keyed by a hash with a random seed, so its timing tells nothing of
--- a/config/parse.go
+++ b/config/parse.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 
@@ -20,19 +21,11 @@
 	if len(data) > MaxText {
 		return Document{}, Problems{{Message: fmt.Sprintf("the text has %d bytes, at most %d are allowed", len(data), MaxText)}}
 	}
-	file, err := parser.ParseBytes(data, 0)
-	if err != nil {
-		return Document{}, Problems{located(err, nil)}
-	}
-	if len(file.Docs) > 1 {
-		return Document{}, Problems{{Message: "the text holds more than one YAML document"}}
+	if err := checkNesting(data); err != nil {
+		return Document{}, err
 	}
-	// An empty file is a mistake; accepting it would remove the whole fleet.
-	if len(file.Docs) == 0 || file.Docs[0].Body == nil || file.Docs[0].Body.Type() == ast.NullType {
-		return Document{}, Problems{{Message: "the text holds no document"}}
-	}
-	var d Document
-	if err := yaml.UnmarshalWithOptions(data, &d, yaml.Strict()); err != nil {
+	d, file, err := decode(data)
+	if err != nil {
 		return Document{}, Problems{located(err, file)}
 	}
 	if err := d.Validate(); err != nil {
@@ -49,6 +42,32 @@
 	return d, nil
 }
 
+// decode reads the document without validation, and the nodes it came from.
+func decode(data []byte) (d Document, file *ast.File, err error) {
+	defer func() {
+		// The YAML library panics on some malformed texts, such as a tag without
+		// a value; fuzzing found them.
+		if p := recover(); p != nil {
+			err = fmt.Errorf("the text is not valid YAML: %v", p)
+		}
+	}()
+	file, err = parser.ParseBytes(data, 0)
+	if err != nil {
+		return Document{}, nil, err
+	}
+	if len(file.Docs) > 1 {
+		return Document{}, file, errors.New("the text holds more than one YAML document")
+	}
+	// An empty file is a mistake; accepting it would remove the whole fleet.
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil || file.Docs[0].Body.Type() == ast.NullType {
+		return Document{}, file, errors.New("the text holds no document")
+	}
+	// Decoding the parsed nodes avoids parsing the text again.
+	decoder := yaml.NewDecoder(bytes.NewReader(nil), yaml.Strict())
+	err = decoder.DecodeFromNode(file.Docs[0].Body, &d)
+	return d, file, err
+}
+
 // UnmarshalYAML reads a duration so that its errors have a position.
 func (d *Duration) UnmarshalYAML(n ast.Node) error {
 	text := n.GetToken().Value
--- a/operator/collector.go
+++ b/operator/collector.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -14,15 +15,24 @@
 )
 
 // Limits of one collection: a silent daemon must not delay the others, and the
-// asking daemon must not open hundreds of calls at once.
+// asking daemon must not open hundreds of calls at once. In a large fleet with
+// many silent daemons the whole collection ends before the operator's client
+// gives up, and tells what it has.
 const (
-	askTimeout  = time.Second
-	askParallel = 16
+	askTimeout     = time.Second
+	askParallel    = 16
+	collectTimeout = 20 * time.Second
 )
 
-// NoAnswer is the kind of the event that stands for a daemon whose events could
-// not be read.
-const NoAnswer = "events-unavailable"
+// maxEvents bounds the events of one collection to about 20 MB, because daemons
+// have 256 MB. Each daemon may send an equal part.
+const maxEvents = 100_000
+
+// The kinds of events that the collector adds.
+const (
+	NoAnswer  = "events-unavailable" // the daemon's events could not be read
+	Truncated = "events-truncated"   // older events of the daemon are left out
+)
 
 // Collector asks all daemons for status and events.
 type Collector struct {
@@ -55,27 +65,37 @@
 	return status
 }
 
-// Events returns the events of every member in one order. A member that doesn't
-// answer is represented by an event of the kind NoAnswer.
+// Events returns the events of every member in one order. An event of the kind
+// NoAnswer or Truncated tells what is missing of a member.
 func (c *Collector) Events(ctx context.Context, f timeline.Filter) []timeline.Event {
 	asked := members(c.View())
 	if f.Host != "" {
 		asked = slices.DeleteFunc(asked, func(m member.Member) bool { return m.Host != f.Host })
 	}
-	answers := ask(ctx, c, asked, "Events", EventsArgs{Filter: f}, (*Peer).Events)
+	args := EventsArgs{Filter: f, Limit: maxEvents / max(len(asked), 1)}
+	answers := ask(ctx, c, asked, "Events", args, (*Peer).Events)
 	lists := make([][]timeline.Event, 0, len(answers))
 	for _, a := range answers {
-		if a.err != nil {
-			a.reply.Events = []timeline.Event{{
-				Time: time.Now().Round(0), Daemon: a.from.Name, Host: a.from.Host,
-				FailureDomain: a.from.Domain, Kind: NoAnswer, Detail: a.err.Error(),
-			}}
+		events := a.reply.Events
+		switch {
+		case a.err != nil:
+			events = []timeline.Event{note(a.from, time.Now().Round(0), NoAnswer, a.err.Error())}
+		case a.reply.Dropped > 0 && len(events) > 0:
+			detail := fmt.Sprintf("%d older events are left out; use a filter", a.reply.Dropped)
+			events = slices.Insert(events, 0, note(a.from, events[0].Time, Truncated, detail))
 		}
-		lists = append(lists, a.reply.Events)
+		lists = append(lists, events)
 	}
 	return timeline.Merge(lists...)
 }
 
+// note is an event by which the collector tells what is missing of a member.
+func note(m member.Member, at time.Time, kind, detail string) timeline.Event {
+	return timeline.Event{
+		Time: at, Daemon: m.Name, Host: m.Host, FailureDomain: m.Domain, Kind: kind, Detail: detail,
+	}
+}
+
 // members returns the members of all tables, silent and leaving ones included.
 func members(v member.View) []member.Member {
 	var all []member.Member
@@ -94,25 +114,26 @@
 	err   error
 }
 
-// ask calls the method at all members, in the order of the members. Each reply
-// has its own value, because a call given up may still write to it.
+// ask calls the method at all members, silent ones last, and returns the answers
+// in the order of the members. Each reply has its own value, because a call
+// given up may still write to it.
 func ask[A, R any](
 	ctx context.Context, c *Collector, asked []member.Member, method string, args A, local func(*Peer, A, *R) error,
 ) []answer[R] {
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
 	self := c.View().Self.Name
 	answers := make([]answer[R], len(asked))
 	var group errgroup.Group
 	group.SetLimit(askParallel)
-	for i, m := range asked {
+	start := func(i int) {
 		group.Go(func() error {
-			reply := new(R)
+			m, reply := asked[i], new(R)
 			var err error
 			if c.Local != nil && m.Name == self {
 				err = local(c.Local, args, reply)
 			} else {
-				limited, cancel := context.WithTimeout(ctx, askTimeout)
-				defer cancel()
-				err = c.Link.Call(limited, m.LinkAddress, PeerName+"."+method, args, reply)
+				err = c.call(ctx, m, method, args, reply)
 			}
 			answers[i] = answer[R]{from: m, err: err}
 			if err == nil {
@@ -121,6 +142,22 @@
 			return nil
 		})
 	}
+	for _, silent := range []bool{false, true} {
+		for i, m := range asked {
+			if (m.State == member.Silent) == silent {
+				start(i)
+			}
+		}
+	}
 	_ = group.Wait() // the functions return no errors
 	return answers
 }
+
+func (c *Collector) call(ctx context.Context, m member.Member, method string, args, reply any) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("not asked: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return c.Link.Call(ctx, m.LinkAddress, PeerName+"."+method, args, reply)
+}
--- a/operator/collector_test.go
+++ b/operator/collector_test.go
@@ -45,7 +45,7 @@
 	return nil
 }
 
-func view(members int) member.View {
+func view(members, silent int) member.View {
 	v := member.View{}
 	t := member.Table{Domain: "east"}
 	for i := range members {
@@ -54,7 +54,10 @@
 	}
 	v.Self = t.Members[0]
 	t = t.With(member.Member{Name: "d000", Host: "h", Domain: "east", LinkAddress: "unused", State: member.Live})
-	return v.WithTable(t.With(member.Member{Name: "gone", Domain: "east", LinkAddress: "silent", State: member.Silent}))
+	for i := range silent {
+		t = t.With(member.Member{Name: fmt.Sprintf("gone%d", i), Domain: "east", LinkAddress: "silent", State: member.Silent})
+	}
+	return v.WithTable(t)
 }
 
 // Guards against one silent daemon that delays or hides the others, and against
@@ -67,7 +70,7 @@
 			Report:   func() operator.StatusReply { return operator.StatusReply{Version: 9} },
 			Recorded: func(timeline.Filter) []timeline.Event { return nil },
 		}
-		collector := &operator.Collector{Link: l, View: func() member.View { return view(100) }, Local: local}
+		collector := &operator.Collector{Link: l, View: func() member.View { return view(100, 1) }, Local: local}
 		start := time.Now()
 		status := collector.Status(context.Background())
 		c.Assert(status, qt.HasLen, 101)
@@ -77,7 +80,7 @@
 			switch {
 			case i == 0:
 				c.Assert(h.Version, qt.Equals, uint64(9))
-			case h.Daemon == "gone":
+			case h.Daemon == "gone0":
 				c.Assert(h.Error, qt.Equals, context.DeadlineExceeded.Error())
 				c.Assert(h.MemberState, qt.Equals, "silent")
 			default:
@@ -92,6 +95,33 @@
 	})
 }
 
+// Guards against a collection that ends after the operator's client gave up.
+func TestManySilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		collector := &operator.Collector{Link: &slowLink{}, View: func() member.View { return view(100, 400) }}
+		start := time.Now()
+		s := operator.Summarize(collector.Status(context.Background()))
+		c.Assert(time.Since(start) <= 21*time.Second, qt.IsTrue)
+		c.Assert(s.Hosts, qt.HasLen, 500)
+		c.Assert(s.Silent, qt.Equals, 400)
+	})
+}
+
+// Guards against a collection that takes the memory of a daemon.
+func TestEventLimit(t *testing.T) {
+	c := qt.New(t)
+	b := &timeline.Buffer{Daemon: "d000", Size: 200_000}
+	for range b.Size {
+		b.Record(timeline.Event{Kind: "k"})
+	}
+	collector := &operator.Collector{View: func() member.View { return view(1, 0) }, Local: &operator.Peer{Recorded: b.Events}}
+	events := collector.Events(context.Background(), timeline.Filter{})
+	c.Assert(events, qt.HasLen, 100_001)
+	c.Assert(events[0].Kind, qt.Equals, operator.Truncated)
+	c.Assert(events[100_000].Sequence, qt.Equals, uint64(200_000))
+}
+
 // Guards against messages that net/rpc or gob refuse.
 func TestPeerOverRPC(t *testing.T) {
 	c := qt.New(t)
--- a/operator/peer.go
+++ b/operator/peer.go
@@ -32,14 +32,25 @@
 	return nil
 }
 
-// EventsArgs are the arguments of Peer.Events.
-type EventsArgs struct{ Filter timeline.Filter }
+// EventsArgs are the arguments of Peer.Events. Limit bounds the number of events;
+// zero means no bound.
+type EventsArgs struct {
+	Filter timeline.Filter
+	Limit  int
+}
 
-// EventsReply is the reply of Peer.Events.
-type EventsReply struct{ Events []timeline.Event }
+// EventsReply is the reply of Peer.Events. Dropped counts the older events that
+// the limit left out.
+type EventsReply struct {
+	Events  []timeline.Event
+	Dropped int
+}
 
 // Events implements the link method Peer.Events.
 func (p *Peer) Events(args EventsArgs, reply *EventsReply) error {
 	reply.Events = p.Recorded(args.Filter)
+	if extra := len(reply.Events) - args.Limit; args.Limit > 0 && extra > 0 {
+		reply.Events, reply.Dropped = reply.Events[extra:], extra
+	}
 	return nil
 }
