Test reservations under faults over three daemons

The guarantees for reservations are about whole daemons, so they are tested through the callers' listener with the target's ledger as the judge: 1,000 keys a seed, 50 callers that resend at other daemons (some while the first request still runs), kills with restarts, outages, cut links, lost, late and dropped writes, and targets that refuse, crash before and after they ran, or truncate. Truth of `not-run` is judged for each send by its own id.

--- /dev/null
+++ b/claim/reservation_test.go
@@ -0,0 +1,367 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/frontend"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/request"
+	"rattanline.example/rattanline/upstream"
+)
+
+var reserve = config.Service{Name: "reserve", Kind: config.Plain, NotRunStatuses: []int{503}}
+
+// ledger is the target: it alone knows which sends it ran.
+type ledger struct {
+	mu   sync.Mutex
+	keys map[string]int
+	send map[string]bool
+	// act returns what the target does with the next request.
+	act    func() string
+	server *httptest.Server
+}
+
+func newLedger(t testing.TB, act func() string) *ledger {
+	l := &ledger{keys: map[string]int{}, send: map[string]bool{}, act: act}
+	l.server = httptest.NewServer(l)
+	t.Cleanup(l.server.Close)
+	return l
+}
+
+func (l *ledger) runs(body string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keys[body]
+}
+
+func (l *ledger) set(act func() string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.act = act
+}
+
+func (l *ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(request.AttemptHeader, r.Header.Get(request.AttemptHeader))
+	body, _ := io.ReadAll(r.Body)
+	l.mu.Lock()
+	act := l.act()
+	if act != "refuse" && act != "crash" {
+		l.keys[string(body)]++
+		l.send[r.Header.Get("Send")] = true
+	}
+	l.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	switch act {
+	case "refuse":
+		w.WriteHeader(503)
+	case "crash", "lose":
+		panic(http.ErrAbortHandler)
+	case "truncate":
+		w.Header().Set("Content-Length", "99")
+		_, _ = io.WriteString(w, "reserved")
+	default:
+		_, _ = io.WriteString(w, "reserved "+string(body))
+	}
+}
+
+// gateway is a daemon that serves callers before the ledger.
+type gateway struct {
+	*node
+	handler *frontend.Handler
+	server  *http.Server
+	url     string
+	target  config.Target
+	refusal atomic.Pointer[request.Refusal]
+}
+
+func (g *gateway) Target() config.Target { return g.target }
+func (*gateway) Charge(float64)          {}
+func (*gateway) Finish(port.Attempt)     {}
+
+func (g *gateway) Acquire(context.Context, port.Job) (port.Assignment, error) {
+	if g.isDead() {
+		return nil, &request.Refusal{Reason: request.Stopping}
+	}
+	if r := g.refusal.Load(); r != nil {
+		return nil, r
+	}
+	return g, nil
+}
+
+func newGateway(t testing.TB, n *node, l *ledger) *gateway {
+	g := &gateway{node: n, target: config.Target{Name: "t", URL: l.server.URL}}
+	g.handler = &frontend.Handler{
+		Scheduler: g, Upstream: &upstream.Client{}, Claims: n.Service,
+		Configuration: frontend.Configuration{
+			Version: func() uint64 { return 1 },
+			AccountByKey: func(key string) (config.Account, bool) {
+				return config.Account{Name: key, Services: []string{"reserve"}}, true
+			},
+			Service: func(string) (config.Service, bool) { return reserve, true },
+		},
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	g.url = "http://" + listener.Addr().String()
+	g.server = frontend.NewServer("", g.handler, n.Logger)
+	go func() { _ = g.server.Serve(listener) }()
+	t.Cleanup(func() { _ = g.server.Close() })
+	return g
+}
+
+type reservation struct {
+	status  int
+	outcome string
+	id      string
+	body    string
+	err     error
+}
+
+// post sends a reservation; the send id is not part of what is claimed.
+func post(ctx context.Context, url, account, key, body, send string) reservation {
+	q, err := http.NewRequestWithContext(ctx, "POST", url+"/services/reserve/x", strings.NewReader(body))
+	if err != nil {
+		return reservation{err: err}
+	}
+	q.GetBody = nil // keeps the client from sending it twice
+	q.Header.Set("Authorization", "Bearer "+account)
+	q.Header.Set("Idempotency-Key", key)
+	q.Header.Set("Rattanline-Deadline-Ms", "1500")
+	q.Header.Set("Send", send)
+	response, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return reservation{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reservation{response.StatusCode, response.Header.Get(frontend.OutcomeHeader), response.Header.Get(frontend.RequestIDHeader), string(data), err}
+}
+
+func assertReservation(t testing.TB, r reservation, status int, outcome request.Outcome) {
+	t.Helper()
+	qt.Assert(t, r.err, qt.IsNil)
+	qt.Assert(t, []any{r.status, r.outcome}, qt.DeepEquals, []any{status, string(outcome)}, qt.Commentf("%s", r.body))
+}
+
+func acting(act string) func() string { return func() string { return act } }
+
+// Guards, for callers of two daemons, against resends that run again or get
+// another response, and against keys that stay taken by refused requests.
+func TestCallers(t *testing.T) {
+	type scene struct {
+		f    *fleet
+		l    *ledger
+		a, b *gateway
+	}
+	ctx := context.Background()
+	for name, play := range map[string]func(t *testing.T, s scene){
+		"resend": func(t *testing.T, s scene) {
+			first := post(ctx, s.a.url, "one", "k", "body", "1")
+			assertReservation(t, first, 200, request.OutcomeRan)
+			qt.Assert(t, post(ctx, s.a.url, "one", "k", "body", "2"), qt.Equals, first)
+			qt.Assert(t, post(ctx, s.b.url, "one", "k", "body", "3"), qt.Equals, first)
+			qt.Assert(t, s.l.runs("body"), qt.Equals, 1)
+		},
+		"other body": func(t *testing.T, s scene) {
+			post(ctx, s.a.url, "one", "k", "body", "1")
+			assertReservation(t, post(ctx, s.b.url, "one", "k", "other", "2"), 422, request.OutcomeNotRun)
+			qt.Assert(t, s.l.runs("other"), qt.Equals, 0)
+		},
+		"other account": func(t *testing.T, s scene) {
+			first := post(ctx, s.a.url, "one", "k", "body", "1")
+			second := post(ctx, s.b.url, "two", "k", "body", "2")
+			assertReservation(t, second, 200, request.OutcomeRan)
+			qt.Assert(t, second.id, qt.Not(qt.Equals), first.id)
+			qt.Assert(t, s.l.runs("body"), qt.Equals, 2)
+		},
+		"refused by the queue": func(t *testing.T, s scene) {
+			s.a.refusal.Store(&request.Refusal{Reason: request.QueueFull})
+			assertReservation(t, post(ctx, s.a.url, "one", "k", "body", "1"), 429, request.OutcomeNotRun)
+			assertReservation(t, post(ctx, s.b.url, "one", "k", "body", "2"), 200, request.OutcomeRan)
+		},
+		"refused by the target": func(t *testing.T, s scene) {
+			s.l.set(acting("refuse"))
+			assertReservation(t, post(ctx, s.a.url, "one", "k", "body", "1"), 503, request.OutcomeNotRun)
+			s.l.set(acting("run"))
+			assertReservation(t, post(ctx, s.b.url, "one", "k", "body", "2"), 200, request.OutcomeRan)
+		},
+		"refused, release lost": func(t *testing.T, s scene) {
+			// The release can't be written, so the next daemon takes the claim over.
+			s.a.refusal.Store(&request.Refusal{Reason: request.NoTarget})
+			s.f.memory.mu.Lock()
+			s.f.memory.fault = func() string {
+				if s.f.memory.writes > 0 {
+					return "dropped"
+				}
+				return ""
+			}
+			s.f.memory.mu.Unlock()
+			assertReservation(t, post(ctx, s.a.url, "one", "k", "body", "1"), 503, request.OutcomeNotRun)
+			time.Sleep(2500 * time.Millisecond)
+			s.f.memory.mu.Lock()
+			s.f.memory.fault = acting("")
+			s.f.memory.mu.Unlock()
+			assertReservation(t, post(ctx, s.b.url, "one", "k", "body", "2"), 200, request.OutcomeRan)
+		},
+		"platform down": func(t *testing.T, s scene) {
+			s.f.memory.setDown(true)
+			assertReservation(t, post(ctx, s.a.url, "one", "k", "body", "1"), 503, request.OutcomeNotRun)
+			qt.Assert(t, s.l.runs("body"), qt.Equals, 0)
+			s.f.memory.setDown(false)
+			assertReservation(t, post(ctx, s.a.url, "one", "k", "body", "2"), 200, request.OutcomeRan)
+		},
+		"crash": func(t *testing.T, s scene) {
+			s.l.set(acting("lose"))
+			assertReservation(t, post(ctx, s.a.url, "one", "k", "body", "1"), 502, request.OutcomeUnknown)
+			s.l.set(acting("run"))
+			assertReservation(t, post(ctx, s.b.url, "one", "k", "body", "2"), 502, request.OutcomeUnknown)
+			qt.Assert(t, s.l.runs("body"), qt.Equals, 1)
+		},
+		"caller leaves and returns": func(t *testing.T, s scene) {
+			gone, cancel := context.WithCancel(ctx)
+			s.l.set(func() string { cancel(); time.Sleep(50 * time.Millisecond); return "run" })
+			qt.Assert(t, errors.Is(post(gone, s.a.url, "one", "k", "body", "1").err, context.Canceled), qt.IsTrue)
+			s.l.set(acting("run"))
+			assertReservation(t, post(ctx, s.b.url, "one", "k", "body", "2"), 200, request.OutcomeRan)
+			qt.Assert(t, s.l.runs("body"), qt.Equals, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			l := newLedger(t, acting("run"))
+			play(t, scene{f, l, newGateway(t, f.nodes[0], l), newGateway(t, f.nodes[1], l)})
+		})
+	}
+}
+
+// Guards the guarantees for reservations under faults in any combination: no
+// key runs twice and no not-run is false, as the target's ledger has it.
+func TestReservations(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { testReservations(t, seed, 1000) })
+	}
+}
+
+func testReservations(t *testing.T, seed uint64, keys int) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	l := newLedger(t, func() string {
+		return []string{"refuse", "crash", "lose", "truncate", "run"}[min(4, random.IntN(25))]
+	})
+	f := newFleet(t, 3)
+	f.memory.fault = faults(seed, 0.15)
+	var mu sync.Mutex
+	gateways := make([]*gateway, 3)
+	for i := range gateways {
+		gateways[i] = newGateway(t, f.nodes[i], l)
+	}
+	chaos, stop := context.WithCancel(context.Background())
+	var faultsDone sync.WaitGroup
+	kills, outages := 0, 0
+	faultsDone.Go(func() {
+		r := rand.New(rand.NewPCG(seed, 3))
+		for chaos.Err() == nil {
+			time.Sleep(time.Duration(10+r.IntN(30)) * time.Millisecond)
+			switch i := r.IntN(5); i {
+			case 3:
+				outages++
+				f.memory.setDown(true)
+				time.Sleep(time.Duration(r.IntN(150)) * time.Millisecond)
+				f.memory.setDown(false)
+			case 4:
+				f.setCut(true)
+				time.Sleep(time.Duration(r.IntN(100)) * time.Millisecond)
+				f.setCut(false)
+			default:
+				kills++
+				f.kill(i)
+				_ = gateways[i].server.Close()
+				time.Sleep(time.Duration(r.IntN(60)) * time.Millisecond)
+				g := newGateway(t, f.start(i), l)
+				mu.Lock()
+				gateways[i] = g
+				mu.Unlock()
+			}
+		}
+	})
+	var refused sync.Map // send ids that were told not-run
+	var done, unknown, sends atomic.Int64
+	var callers sync.WaitGroup
+	work := make(chan int)
+	for range 50 {
+		callers.Go(func() {
+			for k := range work {
+				key := fmt.Sprint("key-", k)
+				for try := range 40 {
+					mu.Lock()
+					url := gateways[(k+try)%3].url
+					mu.Unlock()
+					send := fmt.Sprint(k, "/", try)
+					sends.Add(1)
+					ctx, cancel := context.WithCancel(context.Background())
+					if (k+try)%8 == 0 { // a caller that resends while its request runs
+						ctx, cancel = context.WithTimeout(ctx, 3*time.Millisecond)
+					}
+					r := post(ctx, url, "one", key, key, send)
+					cancel()
+					if r.err != nil || r.outcome == string(request.OutcomeNotRun) {
+						if r.err == nil {
+							refused.Store(send, true)
+						}
+						time.Sleep(5 * time.Millisecond)
+						continue
+					}
+					if r.status == 200 {
+						if r.body != "reserved "+key {
+							t.Errorf("response %q to %s", r.body, key)
+						}
+						done.Add(1)
+					} else {
+						unknown.Add(1)
+					}
+					break
+				}
+			}
+		})
+	}
+	for k := range keys {
+		work <- k
+	}
+	close(work)
+	callers.Wait()
+	stop()
+	faultsDone.Wait()
+	time.Sleep(50 * time.Millisecond) // late runs count as well
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	twice, falseNotRun := 0, 0
+	for _, n := range l.keys {
+		if n > 1 {
+			twice++
+		}
+	}
+	refused.Range(func(send, _ any) bool {
+		if l.send[send.(string)] {
+			falseNotRun++
+		}
+		return true
+	})
+	t.Logf("%d keys, %d sends, %d done, %d unknown, %d run twice, %d false not-run, %d kills, %d outages",
+		keys, sends.Load(), done.Load(), unknown.Load(), twice, falseNotRun, kills, outages)
+	qt.Assert(t, []int{twice, falseNotRun}, qt.DeepEquals, []int{0, 0})
+	qt.Assert(t, done.Load() > int64(keys/2), qt.IsTrue)
+}
