--- /dev/null
+++ b/capacity/fit.go
@@ -0,0 +1,48 @@
+package capacity
+
+import "math"
+
+// Line is a straight line fitted by least squares.
+type Line struct {
+	Intercept float64
+	Slope     float64
+	// Error is the standard deviation of the residuals, and Explained the part
+	// of the variance that the line explains.
+	Error     float64
+	Explained float64
+}
+
+// Fit returns the line through the points. It needs three of them or more.
+func Fit(x, y []float64) Line {
+	n := float64(len(x))
+	meanX, meanY := mean(x), mean(y)
+	var xx, xy, yy float64
+	for i := range x {
+		xx += (x[i] - meanX) * (x[i] - meanX)
+		xy += (x[i] - meanX) * (y[i] - meanY)
+		yy += (y[i] - meanY) * (y[i] - meanY)
+	}
+	slope := xy / xx
+	l := Line{Intercept: meanY - slope*meanX, Slope: slope, Explained: 1}
+	var residual float64
+	for i := range x {
+		d := y[i] - l.At(x[i])
+		residual += d * d
+	}
+	l.Error = math.Sqrt(residual / max(n-2, 1))
+	if yy > 0 {
+		l.Explained = 1 - residual/yy
+	}
+	return l
+}
+
+// At returns the value of the line.
+func (l Line) At(x float64) float64 { return l.Intercept + l.Slope*x }
+
+func mean(v []float64) float64 {
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(len(v))
+}
