Keep totals from being counted twice after a coordinator change

A new coordinator raises its totals to what it knew before. That amount contains the service of daemons and domains that were out of reach; when they reported later, it was added a second time (new test: 121 instead of 63).

usage.Aggregate now remembers the restored amount and takes the first report of a daemon or domain out of it. Charges made since the restoration are taken out too, at most the restored amount: exact totals would need one total per daemon run in every exchange. The entry is marked as changed, because the fleet's total stays the same while the total of the others, which the daemon is sent, doesn't (a3 showed 67).

This changes usage, which another developer wrote.

--- a/coordinator/spread_test.go
+++ b/coordinator/spread_test.go
@@ -126,6 +126,30 @@
 	})
 }
 
+// Guards against service that is counted twice when the coordinator changes
+// while daemons and domains that contributed to it are out of reach.
+func TestTotalsAfterPartition(t *testing.T) {
+	simulate(t, func(c *qt.C, fl *fleet) {
+		fl.accept(1)
+		fl.startAll("ab", 3)
+		for name, cost := range map[string]float64{"a1": 1, "a2": 2, "a3": 4, "b1": 8, "b2": 16, "b3": 32} {
+			fl.nodes[name].Ledger.Charge("x", cost)
+		}
+		fl.until(2*time.Second, "totals spread", fl.totals("x", 63))
+		name := fl.follower("a")
+		fl.links.cut("a", "b")
+		fl.links.cut(name, "*")
+		fl.crash(fl.leader("a"))
+		fl.run(15 * time.Second)
+		c.Check(len(fl.leaders("a")) > 0, qt.IsTrue)
+		fl.links.heal("a", "b")
+		fl.links.heal(name, "*")
+		fl.until(15*time.Second, "totals after the partition", fl.totals("x", 63))
+		fl.run(5 * time.Second)
+		c.Check(fl.totals("x", 63)(), qt.IsTrue, qt.Commentf("%v", fl.sums("x")))
+	})
+}
+
 func (fl *fleet) sums(account string) map[string]float64 {
 	sums := map[string]float64{}
 	for name, n := range fl.nodes {
--- a/usage/aggregate.go
+++ b/usage/aggregate.go
@@ -31,6 +31,9 @@
 	domains map[string]*domainView
 	// retired keeps the service charged by daemon runs that are gone.
 	retired map[string]float64
+	// restored is the part of retired that came from Restore and may belong to
+	// daemons and domains that weren't heard by then.
+	restored map[string]float64
 	// local are the totals of this domain, fleet those of all domains.
 	local       *versioned[string, float64]
 	localQueues *versioned[Queue, queueState]
@@ -47,6 +50,7 @@
 		daemons:     map[string]*contribution{},
 		domains:     map[string]*domainView{},
 		retired:     map[string]float64{},
+		restored:    map[string]float64{},
 		local:       newVersioned[string, float64](c),
 		localQueues: newVersioned[Queue, queueState](c),
 		fleet:       newVersioned[string, float64](c),
@@ -74,8 +78,12 @@
 	if r.Version < c.version {
 		return c.version
 	}
+	first := c.version == 0
 	c.version = r.Version
 	for _, s := range r.Served {
+		if first {
+			a.identify(s)
+		}
 		c.served[s.Account] = s.Value
 		a.sumAccount(s.Account)
 	}
@@ -115,17 +123,34 @@
 	for _, account := range accounts {
 		if missing := total(account) - a.fleet.get(account); missing > 0 {
 			a.retired[account] += missing
+			a.restored[account] += missing
 			a.sumAccount(account)
 		}
 	}
 }
 
+// identify takes the first report of a daemon or domain out of the restored
+// amount, which contains it if it was out of reach when the coordinator changed.
+// What it charged since then is taken out as well, at most the restored amount.
+func (a *Aggregate) identify(s Served) {
+	part := math.Min(a.restored[s.Account], s.Value)
+	if part <= 0 {
+		return
+	}
+	a.restored[s.Account] -= part
+	a.retired[s.Account] -= part
+	// The fleet's total may stay the same, but not that of the others, which
+	// the daemon is sent.
+	a.fleet.touch(s.Account)
+}
+
 // ApplyDomain takes over the report of another domain's coordinator and returns
 // the version to acknowledge: zero asks for everything.
 func (a *Aggregate) ApplyDomain(d DomainReport) uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := a.domains[d.Domain]
+	first := v == nil
 	if v == nil || v.writer != d.Report.Writer {
 		if d.Report.Since > 0 {
 			return 0
@@ -140,6 +165,9 @@
 	}
 	v.version = d.Report.Version
 	for _, s := range d.Report.Served {
+		if first {
+			a.identify(s)
+		}
 		v.served[s.Account] = s.Value
 		a.sumAccount(s.Account)
 	}
--- a/usage/versioned.go
+++ b/usage/versioned.go
@@ -25,6 +25,12 @@
 	v.changed[key] = v.clock.version
 }
 
+// touch marks the entry as changed.
+func (v *versioned[K, V]) touch(key K) {
+	v.clock.version++
+	v.changed[key] = v.clock.version
+}
+
 func (v *versioned[K, V]) get(key K) V { return v.values[key] }
 
 // since calls visit for each entry that changed after the version.
