--- a/setting/table.go
+++ b/setting/table.go
@@ -157,10 +157,6 @@
 		"claim-expiry", "10m", "duration", "how long an idempotency key is remembered", false,
 		duration(func(s *Settings) *time.Duration { return &s.ClaimExpiry }, time.Second),
 	},
-	{
-		"quarantine-time", "10m", "duration", "how long a poison request is refused", false,
-		duration(func(s *Settings) *time.Duration { return &s.QuarantineTime }, time.Second),
-	},
 
 	{
 		"timeline-events", "4096", "events", "events kept for the time line", false,
