Fix faults of the slot owner that the property tests found

Cause and change: - A slot was recalled as unneeded right after its grant, because the grant had used up the holder's demand. An account at a daemon without slots waited 3 s under a flood. What the holder last reported now decides. - A late renewal of a holder's former incarnation freed the slots of the present one, so more requests ran than the limit. Sequence numbers now start from the time in milliseconds, so they order incarnations; a lower one is accepted only when the known incarnation has been silent for the orphan time. - Two owners of a split domain could exceed the limit when the other's slots were idle at one load report and busy soon after. Under a partial share the largest number of unknown requests within the orphan time counts.

Ruled out: a list of ended incarnations. An incarnation that the owner first hears of by a late message would then end the present one.

--- a/slot/demand.go
+++ b/slot/demand.go
@@ -18,17 +18,22 @@
 	sequence uint64
 	seen     time.Time
 	demands  map[string]map[string]int // by service and account
-	told     map[string]TargetState
+	// waiting are the services with demand in the last renewal. Grants use up
+	// demands but not this: a slot just granted must not count as unneeded.
+	waiting map[string]bool
+	told    map[string]TargetState
 }
 
 func (h *holder) setDemands(demands []Demand) {
 	h.demands = make(map[string]map[string]int, len(demands))
+	h.waiting = make(map[string]bool, len(demands))
 	for _, d := range demands {
 		accounts := make(map[string]int, len(d.Accounts))
 		for _, account := range d.Accounts {
 			accounts[account]++
 		}
 		h.demands[d.Service] = accounts
+		h.waiting[d.Service] = len(accounts) > 0
 	}
 }
 
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -50,7 +50,7 @@
 		silence := now.Sub(h.seen)
 		// A silent holder can't use a slot.
 		if silence >= o.Times.SlotLease {
-			h.demands = nil
+			h.demands, h.waiting = nil, nil
 		}
 		// The sequence number outlives the slots, so that a late copy of an old
 		// renewal doesn't bring them back.
@@ -136,7 +136,7 @@
 		}
 		unneeded = append(unneeded, t.kept(func(g *granted) bool {
 			h := o.holders[g.holder.Daemon]
-			return h != nil && len(h.demands[service]) == 0
+			return h != nil && !h.waiting[service]
 		})...)
 	}
 	if unmet > 0 {
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -40,6 +40,7 @@
 	// Owner returns the present owner of a target.
 	Owner func(target string) (usage.Source, bool)
 
+	start    time.Time
 	sequence uint64
 	slots    map[string]map[Slot]*held
 	owners   map[usage.Source]*owner
@@ -210,7 +211,8 @@
 // full one was answered within the interval.
 func (h *Holder) Renewal(now time.Time, source usage.Source, interval time.Duration) Renewal {
 	o := h.owner(source)
-	h.sequence++
+	// The start in milliseconds orders the renewals of consecutive incarnations.
+	h.sequence = max(h.sequence+1, uint64(h.started(now).UnixMilli()))
 	r := Renewal{Holder: h.Self, Address: h.Address, Sequence: h.sequence}
 	r.Partial = now.Sub(o.lease) < interval
 	if !r.Partial {
@@ -225,6 +227,14 @@
 	return r
 }
 
+// started returns when this holder sent its first renewal.
+func (h *Holder) started(now time.Time) time.Time {
+	if h.start.IsZero() {
+		h.start = now
+	}
+	return h.start
+}
+
 // list adds the slots at the owner's targets.
 func (h *Holder) list(r *Renewal, source usage.Source) {
 	for _, target := range h.Targets() {
--- a/slot/message.go
+++ b/slot/message.go
@@ -37,7 +37,8 @@
 }
 
 // Renewal extends the lease of a holder's slots at one owner and reports its
-// demand. Sequence grows with each renewal of one holder; older ones are ignored.
+// demand. Sequence grows with each renewal of one holder, also over its incarnations;
+// older ones are ignored.
 type Renewal struct {
 	Holder   usage.Source
 	Address  string
--- a/slot/owned.go
+++ b/slot/owned.go
@@ -30,13 +30,19 @@
 	adopted  bool // whether a former owner's limit has been taken over
 	// peak is the largest number of slots since the last load report, reported
 	// is the number of requests that report showed beyond them.
-	peak     int
-	reported int
+	peak    int
+	reports []unknown
 	// suspect is set by a crash until a load report shows which incarnation
 	// runs, since a restarted target is cold.
 	suspect bool
 }
 
+// unknown is how many requests a load report showed beyond the known slots.
+type unknown struct {
+	at    time.Time
+	count int
+}
+
 func newOwned(t config.Target, l Limit, adopting time.Time) *owned {
 	return &owned{target: t, limit: l, slots: map[Slot]*granted{}, adopting: adopting}
 }
@@ -47,7 +53,7 @@
 		return 0
 	}
 	total := t.limit.Limit()
-	allowed := min(share.Limit(total), total-t.reported)
+	allowed := min(share.Limit(total), total-t.unknown(share))
 	if t.suspect {
 		allowed = min(allowed, t.target.ColdLimit)
 	}
@@ -74,15 +80,34 @@
 
 // report takes a load report. It lags, so requests count as unknown only beyond
 // the largest number of slots that existed since the last report.
-func (t *owned) report(now time.Time, l limit.Load) {
+func (t *owned) report(now time.Time, l limit.Load, window time.Duration) {
 	t.limit.Report(now, l)
 	t.suspect = false
-	t.reported = max(0, l.Running+l.Queued-t.peak)
+	t.reports = append(t.reports, unknown{at: now, count: max(0, l.Running+l.Queued-t.peak)})
+	for now.Sub(t.reports[0].at) > window {
+		t.reports = t.reports[1:]
+	}
 	if !now.Before(t.adopting) {
 		t.peak = len(t.slots)
 	}
 }
 
+// unknown returns how many requests run on slots of others. In a split domain
+// the other owner's slots may be idle at one report and busy soon after, so the
+// largest number of the window counts.
+func (t *owned) unknown(share member.Share) int {
+	if len(t.reports) == 0 {
+		return 0
+	}
+	largest := t.reports[len(t.reports)-1].count
+	if share.Leases < share.Counted {
+		for _, r := range t.reports {
+			largest = max(largest, r.count)
+		}
+	}
+	return largest
+}
+
 func (t *owned) observe(now time.Time, o limit.Observation) {
 	t.suspect = t.suspect || o.Crashes > 0
 	t.limit.Observe(now, o)
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -106,7 +106,7 @@
 // Report takes the load that a target reported.
 func (o *Owner) Report(now time.Time, target string, l limit.Load) {
 	if t := o.targets[target]; t != nil {
-		t.report(now, l)
+		t.report(now, l, o.Times.OrphanTime)
 	}
 }
 
@@ -147,20 +147,22 @@
 }
 
 // holder returns the state of the renewal's sender. A new incarnation of it
-// proves that the requests of the former one have ended.
+// proves that the requests of the former one have ended. Sequence numbers grow
+// over incarnations, so a late renewal of the former one is recognised; after a
+// clock was set back the new one is accepted when the former is silent.
 func (o *Owner) holder(now time.Time, r Renewal) (*holder, error) {
 	if o.holders == nil {
 		o.holders = map[string]*holder{}
 	}
 	h := o.holders[r.Holder.Daemon]
+	if h != nil && r.Sequence <= h.sequence && (h.source == r.Holder || now.Sub(h.seen) < o.Times.OrphanTime) {
+		return nil, ErrStale
+	}
 	if h == nil || h.source != r.Holder {
 		o.release(func(g *granted) bool { return g.holder.Daemon == r.Holder.Daemon && g.holder != r.Holder })
 		h = &holder{source: r.Holder, told: map[string]TargetState{}}
 		o.holders[r.Holder.Daemon] = h
 	}
-	if r.Sequence <= h.sequence {
-		return nil, ErrStale
-	}
 	h.sequence, h.address, h.seen = r.Sequence, r.Address, now
 	h.setDemands(r.Demands)
 	return h, nil
