Stop without waiting for owners that are gone

Cause: Drain waited for each owner of the member tables to be told of the returned slots. When the last daemon of a domain stops, the other domains keep its last table, in which it is live, so a daemon that stopped in the same moment waited for it until the stop deadline (60 s) and logged "requests not finished" with no request running.

Change: after the last request has ended, Drain waits for owners at most one slot lease. An owner that is only slow finds the slots orphaned, as after a crash of their holder.

Ruled out: the owner's answer being lost (it had exited), running requests (0).

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -9,7 +9,9 @@
 )
 
 // Drain refuses queued requests, waits for the running ones and returns all
-// slots. The daemon accepts no further request.
+// slots. The daemon accepts no further request. An owner that doesn't answer for
+// a slot lease after the last request ended is not waited for: it is gone, or
+// finds the slots orphaned.
 func (d *Dispatcher) Drain(ctx context.Context) error {
 	now := d.lock()
 	d.stopping = true
@@ -23,9 +25,13 @@
 	d.mu.Unlock()
 	ticker := time.NewTicker(d.Times.Tick)
 	defer ticker.Stop()
+	var idle time.Time // when the last request was seen to have ended
 	for {
 		running, slots := d.remaining()
-		if running == 0 && slots == 0 {
+		if running == 0 && idle.IsZero() {
+			idle = time.Now()
+		}
+		if running == 0 && (slots == 0 || time.Since(idle) > d.Times.SlotLease) {
 			return nil
 		}
 		select {
