Exit with 0 after a graceful stop

Cause: claim.Service.Run returns the context's error when it is ended, and the daemon reported it as a failure of the run: each SIGTERM ended with "run claims: context canceled" and exit code 1 instead of 0.

Change: the daemon takes a part's context error after the end of the parts as the end that was asked for. Other errors still count.

Ruled out: signal handling ("daemon stopped" was logged before).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -172,7 +173,8 @@
 		"links": d.server.Run, "membership": d.node.Run, "dispatch": d.dispatch.Run, "claims": d.claims.Run,
 	} {
 		g.Go(func() error {
-			if err := run(parts); err != nil {
+			// Some parts return the context's error when they are ended.
+			if err := run(parts); err != nil && !(parts.Err() != nil && errors.Is(err, context.Canceled)) {
 				return fmt.Errorf("run %s: %w", name, err)
 			}
 			return nil
