Move the stand-ins' commands into their package

Cause: tests that run all three programs as processes re-execute the test binary and can't call a command of package main.

Change: standin.Execute and standin.Command; main is as thin as the other two. No behaviour changes.

--- a/cmd/rattanline-stand-in/main.go
+++ b/cmd/rattanline-stand-in/main.go
@@ -3,16 +3,9 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
+
+	"rattanline.example/rattanline/standin"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := newCommand().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(standin.Execute(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/standin/command.go
+++ b/standin/command.go
@@ -1,10 +1,15 @@
-package main
+package standin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,10 +17,25 @@
 	"github.com/spf13/pflag"
 
 	"rattanline.example/rattanline/config"
-	"rattanline.example/rattanline/standin"
 )
 
-func newCommand() *cobra.Command {
+// Execute runs the program rattanline-stand-in with the arguments, without its
+// own name, until it is interrupted, and returns its exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	c := Command()
+	c.SetArgs(args)
+	c.SetOut(stdout)
+	c.SetErr(stderr)
+	if c.ExecuteContext(ctx) != nil {
+		return 1
+	}
+	return 0
+}
+
+// Command returns the command tree of the program rattanline-stand-in.
+func Command() *cobra.Command {
 	c := &cobra.Command{
 		Use:          "rattanline-stand-in",
 		Short:        "Run a stand-in of a system around the fleet",
@@ -25,8 +45,8 @@
 	return c
 }
 
-// server is what a subcommand runs: a handler whose faults have the type F.
-type server[F any] interface {
+// controlled is what a subcommand runs: a handler whose faults have the type F.
+type controlled[F any] interface {
 	http.Handler
 	Fault() F
 	SetFault(F) error
@@ -34,7 +54,7 @@
 
 // newServerCommand makes a subcommand from a constructor, which is called after
 // the flags were read.
-func newServerCommand[F any](use, short string, makeServer func() server[F]) *cobra.Command {
+func newServerCommand[F any](use, short string, makeServer func() controlled[F]) *cobra.Command {
 	var listen, fault string
 	c := &cobra.Command{
 		Use:   use,
@@ -62,7 +82,7 @@
 		if err := s.SetFault(f); err != nil {
 			return fmt.Errorf("set faults: %w", err)
 		}
-		return standin.Run(c.Context(), listen, s, log)
+		return Run(c.Context(), listen, s, log)
 	}
 	return c
 }
@@ -100,14 +120,14 @@
 
 func keyValueCommand() *cobra.Command {
 	return newServerCommand("key-value", "Key-value service (etcd v3 HTTP/JSON gateway, in memory)",
-		func() server[standin.KeyValueFault] { return standin.NewKeyValue() })
+		func() controlled[KeyValueFault] { return NewKeyValue() })
 }
 
 func hostListCommand() *cobra.Command {
 	var lag time.Duration
 	c := newServerCommand("host-list", "Host list, empty until POST /admin/hosts",
-		func() server[standin.HostListFault] {
-			h := standin.NewHostList()
+		func() controlled[HostListFault] {
+			h := NewHostList()
 			f := h.Fault()
 			f.Lag = config.Duration(lag)
 			_ = h.SetFault(f)
@@ -118,9 +138,9 @@
 }
 
 func engineCommand() *cobra.Command {
-	var o standin.EngineOptions
+	var o EngineOptions
 	c := newServerCommand("engine", "Model engine with OpenAI chat completions",
-		func() server[standin.EngineFault] { return standin.NewEngine(o) })
+		func() controlled[EngineFault] { return NewEngine(o) })
 	addTargetFlags(c.Flags(), &o.TargetOptions)
 	duration(c.Flags(), &o.PromptTime, "prompt-time", 20*time.Millisecond, "time to the first token")
 	duration(c.Flags(), &o.TokenTime, "token-time", 10*time.Millisecond, "time between tokens of a sequence that decodes alone")
@@ -131,21 +151,21 @@
 }
 
 func serviceCommand() *cobra.Command {
-	var o standin.ServiceOptions
+	var o ServiceOptions
 	c := newServerCommand("service", "Plain service with a ledger of executions",
-		func() server[standin.ServiceFault] { return standin.NewService(o) })
+		func() controlled[ServiceFault] { return NewService(o) })
 	addTargetFlags(c.Flags(), &o.TargetOptions)
 	duration(c.Flags(), &o.Work, "work", 20*time.Millisecond, "time of one request")
 	return c
 }
 
-func addTargetFlags(s *pflag.FlagSet, o *standin.TargetOptions) {
+func addTargetFlags(s *pflag.FlagSet, o *TargetOptions) {
 	s.IntVar(&o.Capacity, "capacity", 8, "requests that run at once")
 	s.IntVar(&o.MaxWaiting, "max-waiting", 64, "requests that wait, beyond which they are refused")
 	s.IntVar(&o.ColdLimit, "cold-limit", 2, "requests that it bears while cold")
 	duration(s, &o.WarmUp, "warm-up", 5*time.Second, "how long it is cold after a start")
 	s.Float64Var(&o.ColdFactor, "cold-factor", 2, "multiple of its times while cold")
-	s.StringVar(&o.ColdFailure, "cold-failure", standin.ColdRefuse, `failure of requests beyond the cold limit: "refuse", "abort" or "crash"`)
+	s.StringVar(&o.ColdFailure, "cold-failure", ColdRefuse, `failure of requests beyond the cold limit: "refuse", "abort" or "crash"`)
 	s.BoolVar(&o.SilentCold, "silent-cold", false, "hide the warm-up from the load report")
 	duration(s, &o.LoadLag, "load-lag", 200*time.Millisecond, "age of load reports")
 	duration(s, &o.Restart, "restart", 500*time.Millisecond, "how long it accepts nothing after a crash")
--- a/standin/command_test.go
+++ b/standin/command_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"bytes"
@@ -12,11 +12,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// run starts a subcommand and returns its URL, read from its log as scripts do.
-func run(c *qt.C, args ...string) string {
+// runCommand starts a subcommand and returns its URL, read from its log as scripts do.
+func runCommand(c *qt.C, args ...string) string {
 	ctx, cancel := context.WithCancel(context.Background())
 	r, w := io.Pipe()
-	cmd := newCommand()
+	cmd := Command()
 	cmd.SetArgs(args)
 	cmd.SetErr(w)
 	ended := make(chan error, 1)
@@ -34,7 +34,7 @@
 	c := qt.New(t)
 	for _, name := range []string{"key-value", "host-list", "engine", "service"} {
 		c.Run(name, func(c *qt.C) {
-			url := run(c, name, "--delay", "1ms", "--fault", `{"seed":7}`)
+			url := runCommand(c, name, "--delay", "1ms", "--fault", `{"seed":7}`)
 			r, err := http.Get(url + "/admin/fault")
 			c.Assert(err, qt.IsNil)
 			defer func() { _ = r.Body.Close() }()
@@ -48,7 +48,7 @@
 		})
 	}
 	c.Run("a misspelt fault is an error", func(c *qt.C) {
-		cmd := newCommand()
+		cmd := Command()
 		cmd.SetArgs([]string{"engine", "--fault", `{"dealy":"1s"}`})
 		cmd.SetErr(&bytes.Buffer{})
 		c.Assert(cmd.Execute(), qt.ErrorMatches, "read faults: .*dealy.*")
