Wait longer for an accepted version at a starting daemon

Cause: after an accepted submit the daemon waits for the version to be in force there, at most 2 s. A daemon that has just started finds its coordinator after 1.5 to 2.1 s, so the wait could end too early; 'show' and 'diff' then used version 0 although the operator had been told of version 1.

Change: the wait after an accepted change is bounded by 5 s. Reads that name a version keep 2 s.

Ruled out: the watch and the read of the key-value service (the version was in force right after the coordinator began).

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -103,11 +103,16 @@
 	return 1
 }
 
-// refreshTimeout bounds the wait of an operator or caller for a newer version.
-const refreshTimeout = 2 * time.Second
+const (
+	// refreshTimeout bounds the wait of an operator or caller for a newer version.
+	refreshTimeout = 2 * time.Second
+	// acceptedTimeout bounds it for a version that this daemon has stored. A
+	// daemon that has just started finds its coordinator after about 2 s.
+	acceptedTimeout = 5 * time.Second
+)
 
-func (d *Daemon) refreshTo(ctx context.Context, version uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+func (d *Daemon) refreshTo(ctx context.Context, version uint64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return d.node.Refresh(ctx, version)
 }
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -19,7 +19,7 @@
 
 // Refresh implements operator.Fleet.
 func (f fleet) Refresh(ctx context.Context, version uint64) error {
-	return f.d.refreshTo(ctx, version)
+	return f.d.refreshTo(ctx, version, refreshTimeout)
 }
 
 // Submit implements operator.Fleet. After an accepted change the version is
@@ -28,7 +28,7 @@
 	outcome, err := f.d.store.Submit(ctx, r)
 	if accepted, ok := outcome.(submission.Accepted); ok {
 		f.d.events.Record(timeline.Event{Kind: "configuration-accepted", Detail: r.Author})
-		if err := f.d.refreshTo(ctx, accepted.Version); err != nil {
+		if err := f.d.refreshTo(ctx, accepted.Version, acceptedTimeout); err != nil {
 			f.d.Logger.Warn().Err(err).Uint64("version", accepted.Version).Msg("accepted version not yet in force here")
 		}
 	}
