Add the benchmark of streamed tokens

Cause: 15 million tokens a second are 10,000 for each of 1,500 daemons, and the cost of a token in a daemon was not measured.

Change: BenchmarkStream compares streams through a daemon with streams read from the engine, in processor time, because elapsed time varied with other load.

--- /dev/null
+++ b/daemon/stream_test.go
@@ -0,0 +1,100 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/fleet"
+	"rattanline.example/rattanline/standin"
+)
+
+const streamTokens = 2000
+
+// startStreaming starts one daemon before one engine that generates tokens as
+// fast as they are taken.
+func startStreaming(c *qt.C) *fleet.Fleet {
+	f := &fleet.Fleet{
+		Domains: []string{"kurume"}, Daemons: 1,
+		Engines: []standin.EngineOptions{{TargetOptions: standin.TargetOptions{Capacity: 64, ColdLimit: 64}}},
+		Accounts: []config.Account{{
+			Name: "shop", Share: 1, Services: []string{fleet.Assistant}, KeyDigests: []string{fleet.KeyDigest("shop")},
+		}},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c.Cleanup(f.Close)
+	c.Assert(f.Start(ctx), qt.IsNil)
+	c.Assert(f.AwaitReady(ctx), qt.IsNil)
+	return f
+}
+
+// stream reads one streamed response and returns the number of its events.
+func stream(url string) (events int, err error) {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"draft"}]}`,
+		fleet.Assistant, streamTokens)
+	r, err := http.NewRequest(http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	r.Header.Set("Authorization", "Bearer "+fleet.Key("shop"))
+	r.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "data:") {
+			events++
+		}
+	}
+	return events, lines.Err()
+}
+
+// processorTime returns the user and system time of this process, which other
+// load on the machine changes less than elapsed time.
+func processorTime() time.Duration {
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+// BenchmarkStream compares streamed tokens through one daemon with those read
+// from the engine directly. Both include engine and caller.
+func BenchmarkStream(b *testing.B) {
+	c := qt.New(b)
+	f := startStreaming(c)
+	urls := map[string]string{"routed": f.Member[0].EntryURL(), "direct": f.Member[0].Targets()[0].URL}
+	_, err := stream(urls["routed"]) // waits for the first slot
+	c.Assert(err, qt.IsNil)
+	for name, url := range urls {
+		b.Run(name, func(b *testing.B) {
+			var tokens atomic.Int64
+			start := processorTime()
+			b.SetParallelism(2)
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					n, err := stream(url)
+					if err != nil || n < streamTokens {
+						b.Errorf("%d events: %v", n, err)
+						return
+					}
+					tokens.Add(int64(n))
+				}
+			})
+			b.ReportMetric(float64(processorTime()-start)/float64(tokens.Load()), "cpu-ns/token")
+			b.ReportMetric(float64(tokens.Load())/b.Elapsed().Seconds(), "tokens/s")
+		})
+	}
+}
