--- a/dispatch/holder.go
+++ b/dispatch/holder.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"rattanline.example/rattanline/limit"
@@ -13,18 +16,24 @@
 // that is gone isn't called for each change.
 const retryGap = 250 * time.Millisecond
 
+// returnGap is the least time between renewals that return slots. It is shorter
+// than that for demand, since a slot is idle until its owner knows.
+const returnGap = 5 * time.Millisecond
+
 // maxSettle bounds the exchanges between the owner and the holder of the same
 // process in one call; what remains is done at the next tick.
 const maxSettle = 8
 
 // peer is what this daemon sent to one owner.
 type peer struct {
-	demands map[string]map[string]int // by service and account
-	sent    time.Time
-	full    time.Time // when the last full renewal was sent
-	notSoon time.Time // after a failure
-	granted bool      // slots came since the demand was sent
-	timer   *time.Timer
+	demands  map[string]map[string]int // by service and account
+	sent     time.Time
+	full     time.Time // when the last full renewal was sent
+	notSoon  time.Time // after a failure
+	granted  int       // slots that came since the demand was sent
+	unwanted bool      // slots came for which nothing waits
+	timer    *time.Timer
+	wake     time.Time
 }
 
 // keepOrReturn decides about a slot whose request ended: it is kept while the
@@ -120,31 +129,43 @@
 }
 
 func (d *Dispatcher) renewIfNeeded(now time.Time, source usage.Source, p *peer, demands map[string]map[string]int, holds bool) {
-	urgent := d.urgentFor(source)
-	changed := urgent || d.holder.Unsent(source) || p.lacks(demands)
-	periodic := now.Sub(p.full) >= d.Times.RenewInterval && (holds || len(demands) > 0 || len(p.demands) > 0)
-	if !changed && !periodic {
-		return
+	gap := time.Duration(-1)
+	shorten := func(needed bool, to time.Duration) {
+		if needed && (gap < 0 || to < gap) {
+			gap = to
+		}
 	}
-	earliest := p.sent.Add(d.Times.MinRenewGap)
-	if urgent {
-		earliest = p.sent
+	shorten(d.urgentFor(source), 0)
+	shorten(d.holder.Unsent(source), returnGap)
+	shorten(p.unwanted || p.starts(demands), d.Times.MinRenewGap)
+	shorten(p.differs(demands), d.Times.DemandInterval)
+	if now.Sub(p.full) >= d.Times.RenewInterval {
+		shorten(holds || len(demands) > 0 || len(p.demands) > 0, 0)
+	}
+	if gap < 0 {
+		return
 	}
+	earliest := p.sent.Add(gap)
 	if p.notSoon.After(earliest) {
 		earliest = p.notSoon
 	}
 	if wait := earliest.Sub(now); wait > 0 && source != d.Self {
-		d.wakeAfter(p, wait)
+		d.wakeAfter(now, p, wait)
 		return
 	}
 	d.renew(now, source, p, demands)
 }
 
 // wakeAfter flushes again when the next renewal to the owner is allowed.
-func (d *Dispatcher) wakeAfter(p *peer, wait time.Duration) {
+func (d *Dispatcher) wakeAfter(now time.Time, p *peer, wait time.Duration) {
+	at := now.Add(wait)
 	if p.timer != nil {
-		return
+		if !p.wake.After(at) {
+			return
+		}
+		p.timer.Stop()
 	}
+	p.wake = at
 	p.timer = time.AfterFunc(wait, func() {
 		now := d.lock()
 		defer d.mu.Unlock()
@@ -154,14 +175,33 @@
 	})
 }
 
-// lacks tells whether the owner must learn of the present demand: an account
-// started or stopped waiting, or waits for more slots than the owner knows.
-// A smaller number is not worth a message; the next renewal carries it.
-func (p *peer) lacks(demands map[string]map[string]int) bool {
+// starts tells whether the owner knows of no demand for a service for which
+// requests wait: it was told of none, or has granted as many slots as it knows
+// are wanted.
+func (p *peer) starts(demands map[string]map[string]int) bool {
+	for name := range demands {
+		wanted := 0
+		for _, n := range p.demands[name] {
+			wanted += n
+			if n >= slot.Many {
+				wanted += math.MaxInt32
+			}
+		}
+		if wanted <= p.granted {
+			return true
+		}
+	}
+	return false
+}
+
+// differs tells whether an account started or stopped waiting, or waits for more
+// slots than the owner knows. Accounts of one daemon change much more often than
+// it starts or stops to need slots, and its queue serves the right one in any
+// case, so this is told less often.
+func (p *peer) differs(demands map[string]map[string]int) bool {
 	for name, accounts := range demands {
 		for account, n := range accounts {
-			known := p.demands[name][account]
-			if n > known || p.granted && known < slot.Many {
+			if n > p.demands[name][account] {
 				return true
 			}
 		}
@@ -181,21 +221,9 @@
 	if !r.Partial {
 		p.full = now
 	}
-	for _, name := range d.queues.Services() {
-		accounts, ok := demands[name]
-		if !ok {
-			continue
-		}
-		demand := slot.Demand{Service: name}
-		for _, account := range d.queues.Accounts(name) {
-			for range accounts[account] {
-				demand.Accounts = append(demand.Accounts, account)
-			}
-		}
-		r.Demands = append(r.Demands, demand)
-	}
+	r.Demands = p.message(demands, r.Partial)
 	r.Observations = d.takeObservations(source)
-	p.demands, p.sent, p.granted = demands, now, false
+	p.demands, p.sent, p.granted, p.unwanted = demands, now, 0, false
 	d.metric.renewals.Inc()
 	if source == d.Self {
 		reply, err := d.serve(now, r)
@@ -205,6 +233,30 @@
 	d.send(source, r, now)
 }
 
+// message returns the demands as a renewal carries them: all, or in a partial one
+// those that changed. Grants use up what the owner knows, so after some all are
+// told again.
+func (p *peer) message(demands map[string]map[string]int, partial bool) []slot.Demand {
+	var message []slot.Demand
+	for _, name := range slices.Sorted(maps.Keys(demands)) {
+		if partial && p.granted == 0 && maps.Equal(demands[name], p.demands[name]) {
+			continue
+		}
+		d := slot.Demand{Service: name}
+		for _, account := range slices.Sorted(maps.Keys(demands[name])) {
+			d.Accounts = append(d.Accounts, account)
+			d.Counts = append(d.Counts, demands[name][account])
+		}
+		message = append(message, d)
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.demands)) {
+		if partial && len(demands[name]) == 0 {
+			message = append(message, slot.Demand{Service: name})
+		}
+	}
+	return message
+}
+
 // send calls a remote owner.
 func (d *Dispatcher) send(source usage.Source, r slot.Renewal, sent time.Time) {
 	address, base := d.index.address[source], d.context
@@ -236,16 +288,22 @@
 	d.received(now, source, reply.Granted)
 }
 
-// received uses new slots, and notes that the owner's record of the demand has
-// been used up.
+// received uses new slots. Those for which nothing waits go back at once when
+// others wait, and the owner is told of the present demand.
 func (d *Dispatcher) received(now time.Time, source usage.Source, slots []slot.Slot) {
-	if len(slots) > 0 {
-		d.metric.received.Add(len(slots))
-		if p := d.peers[source]; p != nil {
-			p.granted = true
+	d.metric.received.Add(len(slots))
+	d.assignAll(now)
+	p := d.peers[source]
+	for _, s := range slots {
+		service := d.index.targets[s.Target].Service
+		if p != nil {
+			p.granted++
+			p.unwanted = p.unwanted || len(d.queues.Accounts(service)) == 0
+		}
+		if _, elsewhere := d.Ledger.Floor(service); elsewhere && len(d.queues.Accounts(service)) == 0 && d.holder.Idle(s) {
+			d.returnSlot(now, s)
 		}
 	}
-	d.assignAll(now)
 	if d.holder.Unsent(source) || len(slots) > 0 {
 		d.dirty = true
 	}
--- a/dispatch/times.go
+++ b/dispatch/times.go
@@ -16,6 +16,9 @@
 	RenewInterval  time.Duration
 	// MinRenewGap is the least time between renewals to one owner on changes.
 	MinRenewGap time.Duration
+	// DemandInterval is the least time between renewals that only tell which
+	// accounts wait at a daemon that is known to need slots.
+	DemandInterval time.Duration
 	// ExchangeInterval is that of the usage reports.
 	ExchangeInterval time.Duration
 	LoadInterval     time.Duration
@@ -45,6 +48,7 @@
 	set(&t.LongestRequest, 2*time.Minute)
 	set(&t.RenewInterval, time.Second)
 	set(&t.MinRenewGap, 20*time.Millisecond)
+	set(&t.DemandInterval, 500*time.Millisecond)
 	set(&t.ExchangeInterval, 200*time.Millisecond)
 	set(&t.LoadInterval, time.Second)
 	set(&t.IdleTime, 500*time.Millisecond)
@@ -53,7 +57,7 @@
 		t.Slack = 2
 	}
 	if t.UnseenSlack == 0 {
-		t.UnseenSlack = 2
+		t.UnseenSlack = 3
 	}
 	if t.DemandFanOut == 0 {
 		t.DemandFanOut = 16
--- a/measure/central.go
+++ b/measure/central.go
@@ -49,7 +49,7 @@
 			begin = max(begin, heap.Pop(&running).(completion).at)
 		}
 		if begin >= end {
-			continue
+			break // and so do all later arrivals
 		}
 		duration := time.Duration(a.cost * float64(unit))
 		heap.Push(&running, completion{at: begin + duration})
--- a/slot/demand.go
+++ b/slot/demand.go
@@ -6,9 +6,9 @@
 	"rattanline.example/rattanline/usage"
 )
 
-// Many is the number of times a demand lists an account that has at least so
-// many requests waiting. Below it the owner grants no more slots than are
-// listed; at Many it doesn't count, so a long queue needs no further messages.
+// Many is the largest count of a demand. Below it the owner grants no more slots
+// than are wanted; at Many the count isn't used up, so a long queue needs no
+// further messages.
 const Many = 4
 
 // holder is what an owner knows of one daemon run.
@@ -24,13 +24,18 @@
 	told    map[string]TargetState
 }
 
-func (h *holder) setDemands(demands []Demand) {
-	h.demands = make(map[string]map[string]int, len(demands))
-	h.waiting = make(map[string]bool, len(demands))
+// setDemands replaces the demands, or in a partial renewal those it lists.
+func (h *holder) setDemands(demands []Demand, partial bool) {
+	if !partial || h.demands == nil {
+		h.demands = make(map[string]map[string]int, len(demands))
+		h.waiting = make(map[string]bool, len(demands))
+	}
 	for _, d := range demands {
 		accounts := make(map[string]int, len(d.Accounts))
-		for _, account := range d.Accounts {
-			accounts[account]++
+		for i, account := range d.Accounts {
+			if i < len(d.Counts) {
+				accounts[account] = d.Counts[i]
+			}
 		}
 		h.demands[d.Service] = accounts
 		h.waiting[d.Service] = len(accounts) > 0
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -99,6 +99,12 @@
 	return slices.Sorted(maps.Keys(h.slots))
 }
 
+// Idle tells whether the slot is held and not used by a request.
+func (h *Holder) Idle(s Slot) bool {
+	e := h.slots[s.Target][s]
+	return e != nil && !e.busy
+}
+
 // State returns what an owner last said of the target.
 func (h *Holder) State(target string) TargetState { return h.states[target] }
 
--- a/slot/message.go
+++ b/slot/message.go
@@ -21,10 +21,12 @@
 	Busy bool
 }
 
-// Demand lists the accounts that wait at a holder for a service.
+// Demand lists the accounts that wait at a holder for a service, and how many
+// requests each has waiting, up to Many.
 type Demand struct {
 	Service  string
 	Accounts []string
+	Counts   []int
 }
 
 // TargetState is what an owner told its holders of a target, and what holders
@@ -43,8 +45,9 @@
 	Holder   usage.Source
 	Address  string
 	Sequence uint64
-	// Partial renewals carry changes only: Slots is empty, no lease is extended
-	// and the reply has only what is new. They keep the traffic of changes small.
+	// Partial renewals carry changes only: Slots is empty, Demands has the
+	// services whose demand changed, no lease is extended and the reply has only
+	// what is new. They keep the traffic of changes small.
 	Partial  bool
 	Slots    []Held
 	Returned []Slot
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -164,7 +164,7 @@
 		o.holders[r.Holder.Daemon] = h
 	}
 	h.sequence, h.address, h.seen = r.Sequence, r.Address, now
-	h.setDemands(r.Demands)
+	h.setDemands(r.Demands, r.Partial)
 	return h, nil
 }
 
--- a/slot/owner_test.go
+++ b/slot/owner_test.go
@@ -50,7 +50,7 @@
 		r.Slots = append(r.Slots, slot.Held{Slot: s, Busy: true})
 	}
 	if len(accounts) > 0 {
-		r.Demands = []slot.Demand{{Service: "s", Accounts: accounts}}
+		r.Demands = []slot.Demand{{Service: "s", Accounts: accounts[:1], Counts: []int{len(accounts)}}}
 	}
 	return r
 }
--- a/slot/world_test.go
+++ b/slot/world_test.go
@@ -144,7 +144,7 @@
 	}
 	source, account := w.owners[d.owner].Self, d.holder.Self.Daemon
 	r := d.holder.Renewal(w.now, source, time.Second)
-	r.Demands = []slot.Demand{{Service: "s", Accounts: slices.Repeat([]string{account}, slot.Many)}}
+	r.Demands = []slot.Demand{{Service: "s", Accounts: []string{account}, Counts: []int{slot.Many}}}
 	sent, index, holder := w.now, d.owner, d.holder
 	d.next = w.now.Add(time.Second)
 	w.send(-1, index, func() {
