Read authority, isolation and leaving hosts without a lock

The dispatcher and the frontend ask for them with each request, while the coordinator holds the lock to build its exchanges. They are atomic pointers now.

A watch's connection is probed after 4 s of silence, three times every 2 s, because a change must be in force within 19 s even if the connection died silently. The view shows a leaving daemon as leaving in Self.

A test changed the host list without its lock (found by -race) and is corrected.

--- a/coordinator/feed.go
+++ b/coordinator/feed.go
@@ -94,7 +94,7 @@
 		n.learn(c, false)
 	}
 	if f.Hosts != nil && n.hosts.merge(*f.Hosts) {
-		n.feed.touch(hostsItem)
+		n.hostsChanged()
 	}
 	if f.Configuration != nil {
 		n.adoptConfiguration(*f.Configuration)
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -196,9 +196,7 @@
 		for _, limit := range []int{1, 7, 8} {
 			parts := map[string]int{}
 			for _, n := range fl.nodes {
-				n.mu.Lock()
-				leader := n.auth.from
-				n.mu.Unlock()
+				leader := n.auth.Load().from
 				if s, ok := n.Authority(now); ok && n.Self.Domain == domain {
 					parts[leader] = max(parts[leader], s.Limit(limit))
 				}
--- a/coordinator/heartbeat.go
+++ b/coordinator/heartbeat.go
@@ -148,7 +148,7 @@
 		f.marksTo, f.marksSent = reply.Contact.run(), n.feed.changed[marksItem]
 	}
 	if reply.Accepted {
-		n.auth = authority{share: reply.Share, until: sent.Add(n.OwnerLease), from: reply.Contact.run()}
+		n.auth.Store(&authority{share: reply.Share, until: sent.Add(n.OwnerLease), from: reply.Contact.run()})
 	}
 	if n.Ledger != nil && reply.Source.Daemon != "" {
 		f.source = reply.Source
--- a/coordinator/hosts.go
+++ b/coordinator/hosts.go
@@ -29,10 +29,15 @@
 // HostLeaving tells whether the platform's host list shows the host as leaving.
 func (n *Node) HostLeaving(host string) bool {
 	n.init()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	r := n.hosts.report(false)
-	return r != nil && slices.Contains(r.Leaving, host)
+	return slices.Contains(n.leavers.Load().Leaving, host)
+}
+
+// hostsChanged spreads the report in use. The caller holds the lock.
+func (n *Node) hostsChanged() {
+	if r := n.hosts.report(false); r != nil {
+		n.leavers.Store(r)
+		n.feed.touch(hostsItem)
+	}
 }
 
 // report returns the own reading, or unless ownOnly is set the last one told.
@@ -102,8 +107,8 @@
 	return every(ctx, n.HostInterval, func() {
 		if !n.leads() {
 			n.mu.Lock()
+			defer n.mu.Unlock()
 			n.hosts.own = nil
-			n.mu.Unlock()
 			return
 		}
 		list, err := n.HostList.Hosts(ctx)
@@ -113,6 +118,7 @@
 			n.Logger.Warn().Err(err).Msg("host list not read")
 			if time.Since(n.hosts.ownRead) > staleAfter {
 				n.hosts.own = nil
+				n.hostsChanged()
 			}
 			return
 		}
@@ -121,7 +127,7 @@
 			members = append(members, m.Host)
 		}
 		if n.hosts.read(list, members, n.Self.Host, time.Now()) {
-			n.feed.touch(hostsItem)
+			n.hostsChanged()
 		}
 	})
 }
--- a/coordinator/isolation.go
+++ b/coordinator/isolation.go
@@ -7,14 +7,13 @@
 // coordinator, so that it can't learn of a drain.
 func (n *Node) Isolated(now time.Time) bool {
 	n.init()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return now.Sub(n.outside) >= n.IsolationLimit
+	return now.Sub(*n.outside.Load()) >= n.IsolationLimit
 }
 
-// reached notes contact with the platform or another domain.
+// reached notes contact with the platform or another domain. The caller holds
+// the lock.
 func (n *Node) reached(at time.Time) {
-	if at.After(n.outside) {
-		n.outside = at
+	if at.After(*n.outside.Load()) {
+		n.outside.Store(&at)
 	}
 }
--- a/coordinator/lease.go
+++ b/coordinator/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -131,11 +130,11 @@
 	n.mu.Lock()
 	n.platform.lease, n.platform.granted = lease, sent
 	n.mu.Unlock()
-	value, err := json.Marshal(Contact{
+	value, err := encodeContact(Contact{
 		Name: n.Self.Name, Incarnation: n.Self.Incarnation, Domain: n.Self.Domain, Address: n.Self.LinkAddress,
 	})
 	if err != nil {
-		return 0, 0, sent, fmt.Errorf("encode coordinator: %w", err)
+		return 0, 0, sent, err
 	}
 	result, err := n.KeyValue.Commit(ctx, port.Transaction{
 		Conditions: []port.Condition{{Key: n.recordKey()}},
@@ -210,16 +209,6 @@
 	n.reached(now)
 }
 
-func decodeContact(e port.Entry) (Contact, error) {
-	var c Contact
-	if err := json.Unmarshal(e.Value, &c); err != nil {
-		return c, fmt.Errorf("decode coordinator: %w", err)
-	}
-	c.Term = member.Epoch{Revision: e.Revision}
-	c.Confirmed = true
-	return c, nil
-}
-
 // maintain does the coordinator's next call to the platform, if one is due.
 func (n *Node) maintain(ctx context.Context, ro *role) error {
 	now := time.Now()
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -53,8 +53,12 @@
 	Logger              zerolog.Logger
 
 	prepare sync.Once
+	// These are read for each request and therefore without the lock.
 	view    atomic.Pointer[member.View]
 	doc     atomic.Pointer[config.Document]
+	auth    atomic.Pointer[authority]
+	outside atomic.Pointer[time.Time] // last contact with the platform or another domain
+	leavers atomic.Pointer[HostReport]
 
 	mu       sync.Mutex
 	feed     feed
@@ -62,9 +66,7 @@
 	hosts    hosts
 	marks    []quarantine.Mark
 	follow   following
-	auth     authority
 	role     *role // nil unless this daemon is the coordinator
-	outside  time.Time
 	started  time.Time
 	leaving  bool
 	stepped  Contact      // the term that this run gave up on leaving
@@ -108,7 +110,9 @@
 			n.SilentAfter = n.OwnerLease + n.Interval
 		}
 		n.started = time.Now()
-		n.outside = n.started
+		n.outside.Store(&n.started)
+		n.auth.Store(&authority{})
+		n.leavers.Store(&HostReport{})
 		n.Self.State = member.Live
 		n.contacts = contacts{}
 		n.feed = feed{changed: map[string]uint64{}}
@@ -151,9 +155,8 @@
 // as owner, and whether it may act as owner now.
 func (n *Node) Authority(now time.Time) (member.Share, bool) {
 	n.init()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.auth.share, now.Before(n.auth.until) && n.auth.share.Counted > 0
+	a := n.auth.Load()
+	return a.share, now.Before(a.until) && a.share.Counted > 0
 }
 
 // Coordinator returns the coordinator that this daemon follows, and whether its
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -283,7 +283,7 @@
 	simulate(t, func(c *qt.C, fl *fleet) {
 		fl.startAll("a", 2)
 		old, table := fl.leader("a"), fl.store.entry("rattanline/domains/a")
-		fl.store.put("rattanline/coordinators/a", []byte(`{"Name":"a9","Domain":"a","Address":"a9:1"}`))
+		fl.store.put("rattanline/coordinators/a", []byte(`{"name":"a9","failure-domain":"a","link-address":"a9:1"}`))
 		fl.start("a3")
 		fl.until(2*time.Second, "no coordinator", func() bool { return fl.leader("a") != old })
 		c.Check(fl.store.entry("rattanline/domains/a").Revision, qt.Equals, table.Revision)
--- a/coordinator/publish.go
+++ b/coordinator/publish.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -79,12 +78,12 @@
 	if e.Revision == 0 {
 		return
 	}
-	var t member.Table
-	if err := json.Unmarshal(e.Value, &t); err != nil {
+	t, err := decodeTable(e)
+	if err != nil {
 		n.Logger.Error().Err(err).Str("key", e.Key).Msg("table can't be decoded")
 		return
 	}
-	n.adoptTable(t.WithEpoch(member.Epoch{Revision: e.Revision}, t.Coordinator))
+	n.adoptTable(t)
 }
 
 // publish writes the next table if it differs from the one in force. The write
@@ -105,9 +104,9 @@
 		return nil
 	}
 	next = next.WithEpoch(member.Epoch{}, n.Self.Name)
-	value, err := json.Marshal(next)
+	value, err := encodeTable(next)
 	if err != nil {
-		return fmt.Errorf("encode table: %w", err)
+		return err
 	}
 	ro.published = now
 	result, err := n.KeyValue.Commit(ctx, port.Transaction{
--- a/coordinator/receiver.go
+++ b/coordinator/receiver.go
@@ -37,7 +37,7 @@
 		n.redirect(args.Domain, reply, now)
 	}
 	reply.Released = n.stepped
-	reply.Reach = now.Sub(n.outside)
+	reply.Reach = now.Sub(*n.outside.Load())
 	if args.Configuration != nil {
 		n.adoptConfiguration(*args.Configuration)
 	}
--- a/coordinator/spread_test.go
+++ b/coordinator/spread_test.go
@@ -29,6 +29,15 @@
 	return hosts, nil
 }
 
+// replace returns the former list.
+func (h *hostList) replace(hosts map[string]port.HostState) map[string]port.HostState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.hosts
+	h.hosts = hosts
+	return old
+}
+
 func (h *hostList) set(host string, s port.HostState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -73,11 +82,10 @@
 		c.Check(fl.state("b1", name), qt.Equals, member.Silent)
 		c.Check(fl.shares("a", 2, 3)(), qt.IsTrue)
 		// An empty list says nothing.
-		saved := list.hosts
-		list.hosts = map[string]port.HostState{}
+		saved := list.replace(map[string]port.HostState{})
 		fl.run(10 * time.Second)
 		c.Check(fl.shares("a", 2, 3)(), qt.IsTrue)
-		list.hosts = saved
+		list.replace(saved)
 		list.set("host-"+name, "")
 		fl.until(10*time.Second, "counted no longer", fl.shares("a", 2, 2))
 	})
--- a/coordinator/succession.go
+++ b/coordinator/succession.go
@@ -45,6 +45,9 @@
 	n.mu.Lock()
 	n.leaving = true
 	n.Self.State = member.Leaving
+	v := *n.view.Load()
+	v.Self = n.Self
+	n.view.Store(&v)
 	n.mu.Unlock()
 	for {
 		n.mu.Lock()
@@ -102,7 +105,7 @@
 	}
 	n.stepDown("stopped")
 	// No share may be used once the coordinator stops counting this daemon.
-	n.auth = authority{}
+	n.auth.Store(&authority{})
 	args := n.heartbeat(destination{address: leader.Address, contact: leader}, time.Now())
 	n.mu.Unlock()
 	if !leaving {
--- a/etcd/client.go
+++ b/etcd/client.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -46,13 +47,27 @@
 func New(endpoints ...string) *Client {
 	return &Client{
 		Endpoints: endpoints,
-		HTTP:      &http.Client{},
+		HTTP:      &http.Client{Transport: transport()},
 		Timeout:   defaultTimeout,
 		WatchIdle: defaultWatchIdle,
 		Budget:    rate.NewLimiter(defaultRate, defaultBurst),
 	}
 }
 
+// transport returns the default transport with faster detection of dead
+// connections: a watch has no deadline, and a configuration change must be in
+// force within 19 s even if the watch's connection died silently.
+func transport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	dialer := net.Dialer{
+		Timeout:         defaultTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 4 * time.Second, Interval: 2 * time.Second, Count: 3},
+	}
+	t.DialContext = dialer.DialContext
+	t.Proxy = nil // the service is inside the platform
+	return t
+}
+
 // Get reads one key; an absent key has revision zero.
 func (c *Client) Get(ctx context.Context, key string) (port.Entry, error) {
 	entries, err := c.read(ctx, rangeRequest{Key: encode(key)})
