--- a/coordinator/receiver.go
+++ b/coordinator/receiver.go
@@ -37,9 +37,13 @@
 		n.redirect(args.Domain, reply, now)
 	}
 	reply.Released = n.stepped
-	reply.Reach = now.Sub(n.outside)
+	reply.Reach = now.Sub(*n.outside.Load())
+	if args.Configuration != nil {
+		n.adoptConfiguration(*args.Configuration)
+	}
+	reply.Version = n.doc.Load().Version
 	if args.Name != n.Self.Name || args.Incarnation != n.Self.Incarnation {
-		reply.Feed = n.feedFor(args.Seen, args.Version, false)
+		reply.Feed = n.feedFor(args.Seen, args.Version, false).without(args.Epochs)
 	}
 }
 
