Bind the time of a request to its claim

The frontend assumed that claims are kept for ten minutes, but the expiry is a setting: with a shorter one a request could still run when a resend was granted. Granted now says until when the request may run (half of the expiry after the claim began), and the frontend shortens the deadline to it.

Ruled out: a second field of the handler, which assembly could forget.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net/http"
+	"time"
 
 	"rattanline.example/rattanline/usage"
 )
@@ -55,8 +56,10 @@
 // Decision is what became of a claim: Granted, Duplicate, Mismatch or Full.
 type Decision interface{ isDecision() }
 
-// Granted allows the request to be sent once.
-type Granted struct{}
+// Granted allows the request to be sent once, and to run until the given time.
+// After the claim has expired a resend may be granted, which must not find the
+// request still running.
+type Granted struct{ Until time.Time }
 
 // Duplicate tells that the key is claimed by another attempt.
 type Duplicate struct {
--- a/claim/service.go
+++ b/claim/service.go
@@ -91,15 +91,16 @@
 // says of it later.
 func (s *Service) Claim(ctx context.Context, r Request) (Decision, error) {
 	s.init()
-	key := keyDigest(r)
+	key, began := keyDigest(r), time.Now()
 	// Before the write: a resend elsewhere may see the claim first.
 	s.answers.start(key, r.Attempt)
 	decision, err := s.submit(ctx, Operation{
 		Key: key, Body: r.Body, Attempt: r.Attempt, Supersedes: r.Supersedes, Claimer: s.Self,
 	})
-	if _, granted := decision.(Granted); err != nil || !granted {
-		s.answers.end(time.Now(), s.Expiry, r.Attempt, attemptNotSent, Answer{})
+	if _, granted := decision.(Granted); err == nil && granted {
+		return Granted{Until: began.Add(s.Expiry / 2)}, nil
 	}
+	s.answers.end(time.Now(), s.Expiry, r.Attempt, attemptNotSent, Answer{})
 	if err != nil {
 		return nil, fmt.Errorf("claim key: %w", err)
 	}
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -75,8 +75,16 @@
 		c.refuse(refusal)
 		return
 	}
-	if !c.idempotent && !c.claimKey(ctx) {
-		return
+	if !c.idempotent {
+		until, ok := c.claimKey(ctx)
+		if !ok {
+			return
+		}
+		if until.Before(c.deadline) {
+			c.deadline = until
+			ctx, cancel = context.WithDeadline(ctx, until)
+			defer cancel()
+		}
 	}
 	for c.attempt(ctx) {
 	}
--- a/frontend/claimed.go
+++ b/frontend/claimed.go
@@ -18,16 +18,16 @@
 	maxUnsent      = 256
 )
 
-// claimKey claims the idempotency key and tells whether the request may be
-// sent. If not, the call has ended.
-func (c *call) claimKey(ctx context.Context) bool {
+// claimKey claims the idempotency key and tells until when the request may run.
+// If it may not, the call has ended.
+func (c *call) claimKey(ctx context.Context) (until time.Time, ok bool) {
 	limit := c.account.MaxQueued
 	if limit == 0 {
 		limit = maxUnsent
 	}
 	if !c.handler.running.addUnsent(c, limit) {
 		c.refuse(&request.Refusal{Reason: request.QueueFull, Detail: "too many claimed requests wait", RetryAfter: time.Second})
-		return false
+		return time.Time{}, false
 	}
 	for range maxClaims {
 		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
@@ -40,29 +40,29 @@
 			}
 			c.handler.Logger.Warn().Err(err).Str("request", c.id).Msg("claim failed")
 			c.refuse(refusal)
-			return false
+			return time.Time{}, false
 		}
 		switch d := decision.(type) {
 		case claim.Granted:
 			c.next(request.Claim{Attempt: c.claim.Attempt.String()})
 			c.granted, c.out.keep = true, true
-			return true
+			return d.Until, true
 		case claim.Mismatch:
 			c.refuse(&request.Refusal{Reason: request.KeyReused, Detail: "the idempotency key was used with another request"})
-			return false
+			return time.Time{}, false
 		case claim.Full:
 			c.refuse(&request.Refusal{Reason: request.ClaimsFull, Detail: "no room for idempotency keys", RetryAfter: 10 * time.Second})
-			return false
+			return time.Time{}, false
 		case claim.Duplicate:
 			c.handler.running.sent(c) // it waits for another request, not for a slot
 			if c.replay(ctx, d) {
-				return false
+				return time.Time{}, false
 			}
 			c.claim.Supersedes, c.claim.Attempt = d.Attempt, claim.NewAttempt()
 		}
 	}
 	c.refuse(&request.Refusal{Reason: request.ClaimUnavailable, Detail: "other requests with the same key are being refused", RetryAfter: time.Second})
-	return false
+	return time.Time{}, false
 }
 
 // replay answers a resend with the response to the earlier request. It returns
--- a/frontend/intake.go
+++ b/frontend/intake.go
@@ -23,9 +23,6 @@
 const (
 	defaultTimeout = 60 * time.Second
 	maxKeyLength   = 255
-	// A request must not be sent after its claim has expired, since a resend
-	// could then be sent as well. Claims are kept for twice this time.
-	maxOnceTimeout = 5 * time.Minute
 )
 
 func malformed(format string, args ...any) *request.Refusal {
@@ -185,10 +182,6 @@
 			timeout = time.Duration(ms) * time.Millisecond
 		}
 	}
-	c.idempotent = request.Idempotent(c.method, c.service)
-	if !c.idempotent {
-		timeout = min(timeout, maxOnceTimeout)
-	}
 	c.deadline = c.arrived.Add(timeout)
 	switch s := header.Get(UrgencyHeader); s {
 	case "", "urgent":
@@ -204,6 +197,7 @@
 		}
 		c.hint = hint
 	}
+	c.idempotent = request.Idempotent(c.method, c.service)
 	key := header.Get(KeyHeader)
 	if !c.idempotent {
 		if key == "" || len(key) > maxKeyLength || len(header.Values(KeyHeader)) > 1 {
