Test the bounds on suspects and on waiting claims

Two rules of the frontend had no test: a marked request avoids targets with another one in flight, and the claims an account holds while it waits are bounded. Also: a panic within an attempt returns its slot, and a shard that had no claims for a minute is forgotten, since a daemon that can't reach the owners would otherwise keep up to 32 shards in memory.

Ruled out: forgetting a shard after each write without being its owner; in a partition each claim would read up to a megabyte.

Seen to fail: TestMarkedRequestsAreApart without the avoided targets (hangs at the first target), TestClaimsOfWaitingRequestsAreBounded without the bound (hangs) and without the decrement. The panic path and the idle timer have no test.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -16,6 +16,9 @@
 	platformTimeout = time.Second
 	minPause        = 20 * time.Millisecond
 	maxPause        = 500 * time.Millisecond
+	// A shard of up to a megabyte is forgotten after this time without claims,
+	// since a daemon writes to all shards while it can't reach their owners.
+	idleTime = time.Minute
 )
 
 var (
@@ -93,11 +96,17 @@
 }
 
 func (w *writer) run(ctx context.Context) error {
+	idle := time.NewTimer(idleTime)
+	defer idle.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-idle.C:
+			w.shard = nil
+			continue
 		case <-w.wake:
+			idle.Reset(idleTime)
 		}
 		var batch []*waiting
 		for pause := minPause; ; {
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -139,12 +139,20 @@
 	c.attempts++
 	c.sentAt = time.Now()
 	run := h.running.enter(c, c.target)
+	finished := false
+	defer func() {
+		if !finished { // a panic, after which the server goes on without this request
+			h.running.leave(c, run, false)
+			slot.Finish(port.Attempt{Result: port.Failed})
+		}
+	}()
 	result := c.send(ctx, slot, run)
 	crash, fingerprints := h.running.leave(c, run, result.Result == port.Crashed)
 	if crash != "" && h.Quarantine != nil {
 		h.Quarantine.Crash(time.Now(), crash, fingerprints)
 		c.record("target-crashed", crash)
 	}
+	finished = true
 	slot.Finish(result.Attempt)
 	return c.settle(ctx, result)
 }
--- a/frontend/handler_test.go
+++ b/frontend/handler_test.go
@@ -229,6 +229,40 @@
 	assertReply(t, call("GET", "/services/stock/x", ""), 503, request.OutcomeNotRun)
 }
 
+// Guards against two suspects at one target, where a crash would tell nothing
+// of either.
+func TestMarkedRequestsAreApart(t *testing.T) {
+	hold, entered := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) { close(entered); <-hold }, answer(200, "ran"))
+	for _, path := range []string{"/x", "/y"} {
+		r.marks[request.Fingerprint("one", "stock GET "+path+" ", nil)] = 1
+	}
+	call := r.serve(t)
+	done := make(chan reply)
+	go func() { done <- call("GET", "/services/stock/x", "") }()
+	<-entered
+	assertReply(t, call("GET", "/services/stock/y", ""), 200, request.OutcomeRan)
+	qt.Assert(t, r.jobs[1].Avoid, qt.DeepEquals, []string{"a"})
+	close(hold)
+	<-done
+}
+
+// Guards against an account that floods and fills the claim log with requests
+// that are not sent.
+func TestClaimsOfWaitingRequestsAreBounded(t *testing.T) {
+	hold, entered := make(chan struct{}), make(chan struct{}, 2)
+	r := newRig(t, answer(200, "ran"))
+	r.acquire = func() *request.Refusal { entered <- struct{}{}; <-hold; return nil }
+	call := r.serve(t)
+	done := make(chan reply)
+	go func() { done <- call("POST", "/services/stock/x", "", KeyHeader+": first") }()
+	<-entered
+	assertReply(t, call("POST", "/services/stock/x", "", KeyHeader+": second"), 429, request.OutcomeNotRun)
+	close(hold)
+	assertReply(t, <-done, 200, request.OutcomeRan)
+	assertReply(t, call("POST", "/services/stock/x", "", KeyHeader+": third"), 200, request.OutcomeRan)
+}
+
 // Guards against a stop that interrupts requests or takes new ones.
 func TestDrain(t *testing.T) {
 	release := make(chan struct{})
--- a/frontend/rig_test.go
+++ b/frontend/rig_test.go
@@ -58,13 +58,15 @@
 // Acquire implements port.Scheduler.
 func (r *rig) Acquire(ctx context.Context, j port.Job) (port.Assignment, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.jobs = append(r.jobs, j)
+	r.mu.Unlock()
 	if r.acquire != nil {
 		if refusal := r.acquire(); refusal != nil {
 			return nil, refusal
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, t := range r.targets {
 		if !slices.Contains(j.Avoid, t.Name) {
 			return assignment{r, t}, nil
@@ -87,7 +89,13 @@
 	defer r.mu.Unlock()
 	return r.marks[f] >= r.patience
 }
-func (*rig) Marked(time.Time, uint64) bool { return false }
+
+func (r *rig) Marked(_ time.Time, f uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.marks[f] > 0
+}
+
 func (r *rig) Crash(_ time.Time, crash string, fingerprints []uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -127,7 +135,7 @@
 			Version: func() uint64 { return 7 },
 			AccountByKey: func(key string) (config.Account, bool) {
 				name, ok := strings.CutPrefix(key, "key-")
-				return config.Account{Name: name, Services: []string{"model", "draft", "stock"}}, ok && name == "one"
+				return config.Account{Name: name, MaxQueued: 1, Services: []string{"model", "draft", "stock"}}, ok && name == "one"
 			},
 			Service: func(name string) (config.Service, bool) {
 				i := slices.IndexFunc(services, func(s config.Service) bool { return s.Name == name })
