Bound the bodies that an account sends at once

Bodies are read before the queue's bounds apply, so one account with many slow connections could hold memory of up to 4 MiB each. The bytes that are being received are now bounded by the account's max-queued-bytes (16 MiB by default); one body is always allowed, and one without a length counts as 1 MiB. Beyond that the request is refused with 429 not-run before its body is read.

Ruled out: holding the bound until the request ends; bodies of sent requests are bounded by the slots, and a long stream would block its account.

Seen to fail: TestSlowBodiesAreBounded without the bound and without the release (both end by the timeout).

--- a/frontend/intake.go
+++ b/frontend/intake.go
@@ -23,6 +23,8 @@
 const (
 	defaultTimeout = 60 * time.Second
 	maxKeyLength   = 255
+	assumedBody    = 1 << 20 // of a body that is sent in chunks
+	maxReading     = 16 << 20
 )
 
 func malformed(format string, args ...any) *request.Refusal {
@@ -68,6 +70,19 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	expected := r.ContentLength
+	if expected < 0 {
+		expected = min(limit, assumedBody)
+	}
+	most := c.account.MaxQueuedBytes
+	if most == 0 {
+		most = maxReading
+	}
+	if !c.handler.running.addReading(c.account.Name, expected, most) {
+		c.out.closing = true
+		return &request.Refusal{Reason: request.QueueFull, Detail: "too many bodies are being received", RetryAfter: time.Second}
+	}
+	defer c.handler.running.dropReading(c.account.Name, expected)
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	// The server watches the connection for the caller's departure by reading.
 	_ = c.out.control.SetReadDeadline(time.Time{})
--- a/frontend/intake_test.go
+++ b/frontend/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -43,6 +44,38 @@
 	})
 }
 
+// Guards against an account that holds memory with bodies it sends slowly.
+func TestSlowBodiesAreBounded(t *testing.T) {
+	r := newRig(t, answer(200, "ran"))
+	call := r.serve(t)
+	slow, body := io.Pipe()
+	q, _ := http.NewRequest("PUT", r.url+"/services/stock/x", slow)
+	q.Header.Set("Authorization", "Bearer key-one")
+	q.ContentLength = 900
+	done := make(chan error)
+	go func() { _, err := http.DefaultClient.Do(q); done <- err }()
+	for len(r.running.readers()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assertReply(t, call("PUT", "/services/stock/x", strings.Repeat("x", 900)), 429, request.OutcomeNotRun)
+	_ = body.CloseWithError(io.ErrUnexpectedEOF)
+	qt.Assert(t, <-done, qt.IsNotNil)
+	for len(r.running.readers()) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assertReply(t, call("PUT", "/services/stock/x", strings.Repeat("x", 900)), 200, request.OutcomeRan)
+}
+
+// readers returns the accounts whose bodies are being received.
+func (r *running) readers() (accounts []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for account := range r.reading {
+		accounts = append(accounts, account)
+	}
+	return accounts
+}
+
 // Guards against slots held by callers that stop reading.
 func TestStalledCaller(t *testing.T) {
 	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/frontend/rig_test.go
+++ b/frontend/rig_test.go
@@ -40,6 +40,7 @@
 	marks    map[uint64]int
 	// patience is the number of marks at which a request is quarantined.
 	patience int
+	url      string
 }
 
 type assignment struct {
@@ -135,7 +136,7 @@
 			Version: func() uint64 { return 7 },
 			AccountByKey: func(key string) (config.Account, bool) {
 				name, ok := strings.CutPrefix(key, "key-")
-				return config.Account{Name: name, MaxQueued: 1, Services: []string{"model", "draft", "stock"}}, ok && name == "one"
+				return config.Account{Name: name, MaxQueued: 1, MaxQueuedBytes: 1000, Services: []string{"model", "draft", "stock"}}, ok && name == "one"
 			},
 			Service: func(name string) (config.Service, bool) {
 				i := slices.IndexFunc(services, func(s config.Service) bool { return s.Name == name })
@@ -164,6 +165,7 @@
 func (r *rig) serve(t testing.TB) func(method, path, body string, headers ...string) reply {
 	s := httptest.NewServer(r.Handler)
 	t.Cleanup(s.Close)
+	r.url = s.URL
 	return func(method, path, body string, headers ...string) reply {
 		return do(context.Background(), s.URL, method, path, body, headers...)
 	}
--- a/frontend/running.go
+++ b/frontend/running.go
@@ -25,6 +25,8 @@
 	targets map[string]*targetRun
 	// unsent counts claimed requests that wait, by account.
 	unsent map[string]int
+	// reading counts the bytes of bodies that are being received, by account.
+	reading map[string]int64
 }
 
 // targetRun holds the requests in flight at a target between two crashes.
@@ -39,7 +41,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.calls == nil {
-		r.calls, r.targets, r.unsent = map[*call]InFlight{}, map[string]*targetRun{}, map[string]int{}
+		r.calls, r.targets = map[*call]InFlight{}, map[string]*targetRun{}
+		r.unsent, r.reading = map[string]int{}, map[string]int64{}
 	}
 	r.calls[c] = InFlight{RequestID: c.id, Since: c.arrived}
 }
@@ -144,6 +147,26 @@
 	}
 }
 
+// addReading bounds the bodies that an account sends at once: slow senders hold
+// memory before the bounds of the queue apply.
+func (r *running) addReading(account string, n, limit int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reading[account] > 0 && r.reading[account]+n > limit {
+		return false
+	}
+	r.reading[account] += n
+	return true
+}
+
+func (r *running) dropReading(account string, n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reading[account] -= n; r.reading[account] <= 0 {
+		delete(r.reading, account)
+	}
+}
+
 func (r *running) list() []InFlight {
 	r.mu.Lock()
 	defer r.mu.Unlock()
