--- a/claim/writer.go
+++ b/claim/writer.go
@@ -16,6 +16,9 @@
 	platformTimeout = time.Second
 	minPause        = 20 * time.Millisecond
 	maxPause        = 500 * time.Millisecond
+	// A shard of up to a megabyte is forgotten after this time without claims,
+	// since a daemon writes to all shards while it can't reach their owners.
+	idleTime = time.Minute
 )
 
 var (
@@ -93,14 +96,28 @@
 }
 
 func (w *writer) run(ctx context.Context) error {
+	idle := time.NewTimer(idleTime)
+	defer idle.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-idle.C:
+			w.shard = nil
+			continue
 		case <-w.wake:
+			idle.Reset(idleTime)
 		}
 		var batch []*waiting
 		for pause := minPause; ; {
+			if batch = w.take(batch); len(batch) == 0 {
+				break
+			}
+			// The batch is taken again after the wait, so that operations that
+			// came in the meantime don't wait a second time.
+			if err := w.limiter.Wait(ctx); err != nil {
+				return fmt.Errorf("wait for the write rate: %w", err)
+			}
 			if batch = w.take(batch); len(batch) == 0 {
 				break
 			}
@@ -136,9 +153,6 @@
 	for i, p := range batch {
 		operations[i] = p.operation
 	}
-	if err := w.limiter.Wait(ctx); err != nil {
-		return false, fmt.Errorf("wait for the write rate: %w", err)
-	}
 	now := time.Now()
 	plan := w.shard.Plan(now, operations)
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -75,8 +75,16 @@
 		c.refuse(refusal)
 		return
 	}
-	if !c.idempotent && !c.claimKey(ctx) {
-		return
+	if !c.idempotent {
+		until, ok := c.claimKey(ctx)
+		if !ok {
+			return
+		}
+		if until.Before(c.deadline) {
+			c.deadline = until
+			ctx, cancel = context.WithDeadline(ctx, until)
+			defer cancel()
+		}
 	}
 	for c.attempt(ctx) {
 	}
@@ -131,12 +139,20 @@
 	c.attempts++
 	c.sentAt = time.Now()
 	run := h.running.enter(c, c.target)
+	finished := false
+	defer func() {
+		if !finished { // a panic, after which the server goes on without this request
+			h.running.leave(c, run, false)
+			slot.Finish(port.Attempt{Result: port.Failed})
+		}
+	}()
 	result := c.send(ctx, slot, run)
 	crash, fingerprints := h.running.leave(c, run, result.Result == port.Crashed)
 	if crash != "" && h.Quarantine != nil {
 		h.Quarantine.Crash(time.Now(), crash, fingerprints)
 		c.record("target-crashed", crash)
 	}
+	finished = true
 	slot.Finish(result.Attempt)
 	return c.settle(ctx, result)
 }
--- a/frontend/handler_test.go
+++ b/frontend/handler_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"rattanline.example/rattanline/claim"
 	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/request"
 )
@@ -93,6 +94,10 @@
 // retries of idempotent requests. Attempts are counted at the targets.
 func TestRetries(t *testing.T) {
 	const key = KeyHeader + ": k"
+	another := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(request.AttemptHeader, "another-1")
+		_, _ = io.WriteString(w, "secret")
+	}
 	for name, c := range map[string]struct {
 		first, second http.HandlerFunc
 		method        string
@@ -101,16 +106,18 @@
 		outcome       request.Outcome
 		runs          int
 	}{
-		"idempotent after crash":       {crash, answer(200, "ran"), "GET", 1, 200, request.OutcomeRan, 2},
-		"idempotent after overload":    {answer(503, ""), answer(200, "ran"), "GET", 1, 200, request.OutcomeRan, 2},
-		"idempotent after error":       {answer(500, ""), answer(200, "ran"), "GET", 1, 200, request.OutcomeRan, 2},
-		"idempotent without budget":    {crash, answer(200, "ran"), "GET", 0, 502, request.OutcomeUnknown, 1},
-		"idempotent and no target":     {crash, crash, "GET", 5, 502, request.OutcomeUnknown, 2},
-		"error response is kept":       {answer(500, "why"), answer(500, "why"), "GET", 5, 500, request.OutcomeUnknown, 2},
-		"once after crash":             {crash, answer(200, "ran"), "POST", 5, 502, request.OutcomeUnknown, 1},
-		"once after error":             {answer(500, ""), answer(200, "ran"), "POST", 5, 500, request.OutcomeUnknown, 1},
-		"once after untrusted refusal": {answer(429, ""), answer(200, "ran"), "POST", 5, 429, request.OutcomeUnknown, 1},
-		"once after trusted refusal":   {answer(503, ""), answer(200, "ran"), "POST", 5, 503, request.OutcomeNotRun, 1},
+		"idempotent after crash":                 {crash, answer(200, "ran"), "GET", 1, 200, request.OutcomeRan, 2},
+		"idempotent after overload":              {answer(503, ""), answer(200, "ran"), "GET", 1, 200, request.OutcomeRan, 2},
+		"idempotent after error":                 {answer(500, ""), answer(200, "ran"), "GET", 1, 200, request.OutcomeRan, 2},
+		"idempotent without budget":              {crash, answer(200, "ran"), "GET", 0, 502, request.OutcomeUnknown, 1},
+		"idempotent and no target":               {crash, crash, "GET", 5, 502, request.OutcomeUnknown, 2},
+		"error response is kept":                 {answer(500, "why"), answer(500, "why"), "GET", 5, 500, request.OutcomeUnknown, 2},
+		"idempotent after a response of another": {another, answer(200, "ran"), "GET", 1, 200, request.OutcomeRan, 2},
+		"once after a response of another":       {another, answer(200, "ran"), "POST", 5, 502, request.OutcomeUnknown, 1},
+		"once after crash":                       {crash, answer(200, "ran"), "POST", 5, 502, request.OutcomeUnknown, 1},
+		"once after error":                       {answer(500, ""), answer(200, "ran"), "POST", 5, 500, request.OutcomeUnknown, 1},
+		"once after untrusted refusal":           {answer(429, ""), answer(200, "ran"), "POST", 5, 429, request.OutcomeUnknown, 1},
+		"once after trusted refusal":             {answer(503, ""), answer(200, "ran"), "POST", 5, 503, request.OutcomeNotRun, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, c.first, c.second)
@@ -118,6 +125,7 @@
 			got := r.serve(t)(c.method, "/services/stock/x", "{}", key)
 			assertReply(t, got, c.status, c.outcome)
 			qt.Assert(t, r.attempts, qt.HasLen, c.runs)
+			qt.Assert(t, strings.Contains(got.Body, "secret"), qt.IsFalse)
 		})
 	}
 	t.Run("once without connection", func(t *testing.T) {
@@ -161,15 +169,24 @@
 	})
 }
 
-// Guards against a deadline that is passed over, and one reported as not run
-// after the request was sent.
+// briefly grants claims that end soon.
+type briefly struct{ grantAll }
+
+func (briefly) Claim(context.Context, claim.Request) (claim.Decision, error) {
+	return claim.Granted{Until: time.Now().Add(60 * time.Millisecond)}, nil
+}
+
+// Guards against requests that run past their deadline or claim, and against
+// one that is reported as not run after it was sent.
 func TestDeadline(t *testing.T) {
-	r := newRig(t, func(_ http.ResponseWriter, q *http.Request) {
-		_, _ = io.ReadAll(q.Body)
-		<-q.Context().Done()
-	})
-	got := r.serve(t)("GET", "/services/stock/x", "", DeadlineHeader+": 60")
-	assertReply(t, got, 504, request.OutcomeUnknown)
+	for header, method := range map[string]string{DeadlineHeader + ": 60": "GET", KeyHeader + ": k": "POST"} {
+		r := newRig(t, func(_ http.ResponseWriter, q *http.Request) {
+			_, _ = io.ReadAll(q.Body)
+			<-q.Context().Done()
+		})
+		r.Claims = briefly{}
+		assertReply(t, r.serve(t)(method, "/services/stock/x", "", header), 504, request.OutcomeUnknown)
+	}
 }
 
 // Guards against work that goes on for callers that are gone.
@@ -212,6 +229,40 @@
 	assertReply(t, call("GET", "/services/stock/x", ""), 503, request.OutcomeNotRun)
 }
 
+// Guards against two suspects at one target, where a crash would tell nothing
+// of either.
+func TestMarkedRequestsAreApart(t *testing.T) {
+	hold, entered := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) { close(entered); <-hold }, answer(200, "ran"))
+	for _, path := range []string{"/x", "/y"} {
+		r.marks[request.Fingerprint("one", "stock GET "+path+" ", nil)] = 1
+	}
+	call := r.serve(t)
+	done := make(chan reply)
+	go func() { done <- call("GET", "/services/stock/x", "") }()
+	<-entered
+	assertReply(t, call("GET", "/services/stock/y", ""), 200, request.OutcomeRan)
+	qt.Assert(t, r.jobs[1].Avoid, qt.DeepEquals, []string{"a"})
+	close(hold)
+	<-done
+}
+
+// Guards against an account that floods and fills the claim log with requests
+// that are not sent.
+func TestClaimsOfWaitingRequestsAreBounded(t *testing.T) {
+	hold, entered := make(chan struct{}), make(chan struct{}, 2)
+	r := newRig(t, answer(200, "ran"))
+	r.acquire = func() *request.Refusal { entered <- struct{}{}; <-hold; return nil }
+	call := r.serve(t)
+	done := make(chan reply)
+	go func() { done <- call("POST", "/services/stock/x", "", KeyHeader+": first") }()
+	<-entered
+	assertReply(t, call("POST", "/services/stock/x", "", KeyHeader+": second"), 429, request.OutcomeNotRun)
+	close(hold)
+	assertReply(t, <-done, 200, request.OutcomeRan)
+	assertReply(t, call("POST", "/services/stock/x", "", KeyHeader+": third"), 200, request.OutcomeRan)
+}
+
 // Guards against a stop that interrupts requests or takes new ones.
 func TestDrain(t *testing.T) {
 	release := make(chan struct{})
--- a/frontend/intake.go
+++ b/frontend/intake.go
@@ -23,9 +23,8 @@
 const (
 	defaultTimeout = 60 * time.Second
 	maxKeyLength   = 255
-	// A request must not be sent after its claim has expired, since a resend
-	// could then be sent as well. Claims are kept for twice this time.
-	maxOnceTimeout = 5 * time.Minute
+	assumedBody    = 1 << 20 // of a body that is sent in chunks
+	maxReading     = 16 << 20
 )
 
 func malformed(format string, args ...any) *request.Refusal {
@@ -71,6 +70,19 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	expected := r.ContentLength
+	if expected < 0 {
+		expected = min(limit, assumedBody)
+	}
+	most := c.account.MaxQueuedBytes
+	if most == 0 {
+		most = maxReading
+	}
+	if !c.handler.running.addReading(c.account.Name, expected, most) {
+		c.out.closing = true
+		return &request.Refusal{Reason: request.QueueFull, Detail: "too many bodies are being received", RetryAfter: time.Second}
+	}
+	defer c.handler.running.dropReading(c.account.Name, expected)
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	// The server watches the connection for the caller's departure by reading.
 	_ = c.out.control.SetReadDeadline(time.Time{})
@@ -185,10 +197,6 @@
 			timeout = time.Duration(ms) * time.Millisecond
 		}
 	}
-	c.idempotent = request.Idempotent(c.method, c.service)
-	if !c.idempotent {
-		timeout = min(timeout, maxOnceTimeout)
-	}
 	c.deadline = c.arrived.Add(timeout)
 	switch s := header.Get(UrgencyHeader); s {
 	case "", "urgent":
@@ -204,6 +212,7 @@
 		}
 		c.hint = hint
 	}
+	c.idempotent = request.Idempotent(c.method, c.service)
 	key := header.Get(KeyHeader)
 	if !c.idempotent {
 		if key == "" || len(key) > maxKeyLength || len(header.Values(KeyHeader)) > 1 {
