End the claim writers without an error

Cause: the writers returned the context's error when the daemon stopped, so every graceful stop ended with "run claims: context canceled" and exit code 1. Change: they return nil, as the other parts do when their context ends. Ruled out: an error of a write; Run has no other error from the writers.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -96,7 +96,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return nil
 		case <-w.wake:
 		}
 		var batch []*waiting
@@ -114,7 +114,7 @@
 			}
 			select {
 			case <-ctx.Done():
-				return ctx.Err()
+				return nil
 			case <-time.After(pause/2 + rand.N(pause/2)):
 			}
 			pause = min(2*pause, maxPause)
