Note a raise of a limit only when it was raised

Cause: each saturated observation moved the time of the last raise, also one that raised nothing. The ramp-up needs a load report that is newer than the last raise, so with successes observed one by one, more often than reports arrive, a target stayed near its cold limit: 2 of 8 after 10 s in the new test. Change: the time moves only when the limit rises.

--- a/limit/controller.go
+++ b/limit/controller.go
@@ -221,6 +221,7 @@
 		return
 	}
 	c.successes += o.Successes
+	before := c.limit
 	for growth := max(1, c.limit/growthShare); growth > 0 && c.successes >= c.limit; growth-- {
 		c.successes -= c.limit
 		if c.queued || c.latency.slow(o.FirstByte) {
@@ -240,7 +241,9 @@
 	if c.limit == c.max {
 		c.ramping = false
 	}
-	c.raised = now
+	if c.limit > before {
+		c.raised = now
+	}
 	c.successes = min(c.successes, c.limit)
 }
 
--- a/limit/controller_test.go
+++ b/limit/controller_test.go
@@ -236,3 +236,18 @@
 		}
 	})
 }
+
+// TestRampOfSmallObservations guards against a ramp-up that stands still when
+// successes are observed one by one, more often than load reports arrive.
+func TestRampOfSmallObservations(t *testing.T) {
+	c := qt.New(t)
+	l := New(2, 8)
+	for i := range 200 { // 20 a second
+		now := at(float64(i) / 20)
+		if i%20 == 0 {
+			l.Report(now, Load{Incarnation: "a"})
+		}
+		l.Observe(now, round(1))
+	}
+	assertLimit(c, l, 8, false)
+}
