Take no first-byte time from whole completions

Cause: a whole completion has its first byte after its last token. Mixed with streams it looked many times slower than the running minimum, so the limit stopped growing, and three in a row looked like a target that is cold again. The quick error responses of a model service lowered the minimum as well. Change: such responses carry no first-byte time, and the mean covers only those that do. Also, an observation notes a full target at the end of a request and not only at its start: with frequent renewals, successes were sent without it and didn't count as part of a round. Ruled out: a lower bound of the running minimum alone, which would not have separated the two kinds.

--- a/dispatch/observe.go
+++ b/dispatch/observe.go
@@ -10,14 +10,15 @@
 // observation collects the attempts at a target until the next renewal.
 type observation struct {
 	limit.Observation
-	firstByte time.Duration // sum over the successes
+	firstByte time.Duration // sum over the timed successes
+	timed     int           // successes whose first byte was timed
 	urgent    bool
 }
 
 func (o *observation) message() limit.Observation {
 	m := o.Observation
-	if o.Successes > 0 {
-		m.FirstByte = o.firstByte / time.Duration(o.Successes)
+	if o.timed > 0 {
+		m.FirstByte = o.firstByte / time.Duration(o.timed)
 	}
 	return m
 }
@@ -29,7 +30,10 @@
 	return d.observed[target]
 }
 
-func (d *Dispatcher) observeStart(target string) {
+// observeBusy notes that all slots of the target are busy. It is called before
+// and after each change, because an observation may begin and end in between:
+// the successes of a full target would else be sent without that note.
+func (d *Dispatcher) observeBusy(target string) {
 	if total, busy := d.holder.Count(target); busy == total {
 		d.observation(target).Saturated = true
 	}
@@ -39,11 +43,15 @@
 // change of incarnation the owner is told at once, and until it has answered
 // this daemon starts nothing new at a target that may be cold.
 func (d *Dispatcher) observeEnd(target string, t port.Attempt) {
+	d.observeBusy(target)
 	o := d.observation(target)
 	switch t.Result {
 	case port.Succeeded:
 		o.Successes++
-		o.firstByte += t.FirstByte
+		if t.FirstByte > 0 {
+			o.firstByte += t.FirstByte
+			o.timed++
+		}
 		d.failing[target] = false
 		d.latency[target] += (t.Total - d.latency[target]) / 8
 	case port.Failed:
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -197,7 +197,7 @@
 	q := usage.Queue{Service: job.Service, Account: job.Account}
 	a := &assignment{d: d, job: job, slot: s, target: d.index.targets[s.Target], charged: d.costs.estimate(q, job.Cost)}
 	d.Ledger.Charge(job.Account, a.charged)
-	d.observeStart(s.Target)
+	d.observeBusy(s.Target)
 	d.metric.wait.UpdateDuration(i.Value.arrived)
 	d.record("request-assigned", job.RequestID, job.Account, s.Target, "")
 	i.Value.result <- result{assignment: a}
--- a/port/scheduler.go
+++ b/port/scheduler.go
@@ -40,8 +40,9 @@
 // Attempt is how an assignment ended: its result, its true cost as far as it is
 // known, and the times that the target's limit is derived from.
 type Attempt struct {
-	Result    AttemptResult
-	Cost      float64
+	Result AttemptResult
+	Cost   float64
+	// FirstByte is zero if the response doesn't show when the target began it.
 	FirstByte time.Duration
 	Total     time.Duration
 	// Incarnation is the target incarnation that answered, if it said so.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -144,6 +144,16 @@
 // Length returns the announced length of the response, negative if unknown.
 func (e *Exchange) Length() int64 { return e.response.ContentLength }
 
+// firstByte returns how long the target took to begin its response, zero if the
+// response doesn't show it: a whole completion begins after its last token, so
+// its time says nothing about how full the target is.
+func (e *Exchange) firstByte() time.Duration {
+	if e.attempt.Service.Kind == config.Model && !e.Streaming() {
+		return 0
+	}
+	return e.first
+}
+
 func (e *Exchange) close() {
 	e.cancel() // stops the target's work unless the response was read to its end
 	_ = e.response.Body.Close()
@@ -152,7 +162,7 @@
 func (e *Exchange) result(r port.AttemptResult) Result {
 	return Result{
 		Attempt: port.Attempt{
-			Result: r, FirstByte: e.first, Total: time.Since(e.started), Incarnation: e.Incarnation(),
+			Result: r, FirstByte: e.firstByte(), Total: time.Since(e.started), Incarnation: e.Incarnation(),
 		},
 		Written: true,
 	}
