--- a/claim/writer.go
+++ b/claim/writer.go
@@ -101,7 +101,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return nil
 		case <-idle.C:
 			w.shard = nil
 			continue
@@ -131,7 +131,7 @@
 			}
 			select {
 			case <-ctx.Done():
-				return ctx.Err()
+				return nil
 			case <-time.After(pause/2 + rand.N(pause/2)):
 			}
 			pause = min(2*pause, maxPause)
