Tell why a submit gave up

Cause: while the key-value service can't be reached a submit ended with "context deadline exceeded", which names neither the service nor the reason.

Change: the error holds the last try's failure.

Ruled out: a change of the outcome; it is still an error only if nothing was stored.

--- a/submission/store.go
+++ b/submission/store.go
@@ -47,13 +47,22 @@
 		return nil, fmt.Errorf("submit: %w", err)
 	}
 	a := attempt{store: s, request: r, uncertain: r.Resubmitted}
-	outcome, err := backoff.Retry(ctx, func() (Outcome, error) { return a.try(ctx) },
+	outcome, err := backoff.Retry(ctx, func() (outcome Outcome, err error) {
+		outcome, err = a.try(ctx)
+		if err != nil && (a.failure == nil || ctx.Err() == nil) {
+			a.failure = err
+		}
+		return outcome, err
+	},
 		backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
 	switch {
 	case err == nil:
 		return outcome, nil
 	case a.uncertain:
 		return Unknown{}, nil
+	case ctx.Err() != nil && a.failure != nil:
+		// Why the tries failed tells more than that the time is over.
+		return nil, fmt.Errorf("submit: gave up: %w", a.failure)
 	default:
 		return nil, fmt.Errorf("submit: %w", err)
 	}
@@ -77,6 +86,7 @@
 	// uncertain is set while an earlier write may still take effect or may have
 	// taken effect unnoticed.
 	uncertain bool
+	failure   error // of the last try that had time to fail
 }
 
 // try reads the current version and, if it is the base, writes once. A returned
