Refuse with 503 while there is no configuration

Cause: a daemon without a configuration knows no key and answered every caller with 401 "missing or wrong key", which blames the caller.

Change: 503 not-run, reason no-target, "this daemon has no configuration yet".

Ruled out: /readyz, which told 503 already.

--- a/frontend/intake.go
+++ b/frontend/intake.go
@@ -38,6 +38,10 @@
 	if !r.ProtoAtLeast(1, 1) {
 		return malformed("HTTP/1.1 is needed: a cut response could not be shown in %s", r.Proto)
 	}
+	if h.Configuration.Version() == 0 {
+		// Without a configuration no key is known; 401 would blame the caller.
+		return &request.Refusal{Reason: request.NoTarget, Detail: "this daemon has no configuration yet, use another entry", RetryAfter: time.Second}
+	}
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	account, known := h.Configuration.AccountByKey(strings.TrimSpace(key))
 	if !strings.EqualFold(scheme, "Bearer") || !known {
