Use a current error type in the benchmark

Cause: staticcheck reports http.ProtocolError as deprecated (SA1019), so the check of the whole repository failed.

Change: fmt.Errorf.

--- a/daemon/overhead_test.go
+++ b/daemon/overhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -50,7 +51,7 @@
 		return 0, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return 0, &http.ProtocolError{ErrorString: response.Status}
+		return 0, fmt.Errorf("status %s", response.Status)
 	}
 	return time.Since(start), nil
 }
