Make each setting take effect

Cause: entries-ttl and quarantine-time were read and checked but used nowhere.

Change: entries-ttl sets the time to live in the list of entries and its Cache-Control; it must be whole seconds, because both are. quarantine-time is removed: the quarantine must last equally long at all daemons, so a setting of one daemon can't change it. A file that still has it gets "unknown setting".

Ruled out: the other settings; each is used at least once.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -70,7 +70,7 @@
 			AccountByKey: func(key string) (config.Account, bool) { return d.index.get().AccountByKey(key) },
 			Service:      func(name string) (config.Service, bool) { return d.index.get().Service(name) },
 		},
-		Refuse: d.refuse, Entries: d.entries, Ready: d.ready, Quarantine: d.poison,
+		Refuse: d.refuse, Entries: d.entries, EntriesTTL: s.EntriesTTL, Ready: d.ready, Quarantine: d.poison,
 		RetryBudget: routing.NewBudget(s.RetryRatio, retryReserve),
 		Refresh:     d.node.Refresh, Recorder: d.events, Logger: d.Logger, MaxBody: s.MaxBody,
 	}
--- a/frontend/entry.go
+++ b/frontend/entry.go
@@ -2,13 +2,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"time"
 )
 
-// entryTTL is the time in seconds for which callers may keep the entries.
-const entryTTL = 10
+// defaultEntriesTTL is the time for which callers may keep the entries.
+const defaultEntriesTTL = 10 * time.Second
 
 // Entry is a daemon that callers may connect to.
 type Entry struct {
@@ -26,9 +28,14 @@
 		entries = []Entry{}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Cache-Control", "max-age=10")
+	ttl := h.EntriesTTL
+	if ttl == 0 {
+		ttl = defaultEntriesTTL
+	}
+	seconds := int(ttl / time.Second)
+	w.Header().Set("Cache-Control", fmt.Sprintf("max-age=%d", seconds))
 	_ = json.NewEncoder(w).Encode(struct {
 		Entries []Entry `json:"entries"`
 		TTL     int     `json:"ttl-seconds"`
-	}{entries, entryTTL})
+	}{entries, seconds})
 }
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -58,8 +58,10 @@
 	Claims        Claims
 	Configuration Configuration
 	// Refuse returns a refusal while the daemon takes no new work.
-	Refuse      func() *request.Refusal
-	Entries     func() []Entry
+	Refuse  func() *request.Refusal
+	Entries func() []Entry
+	// EntriesTTL is how long callers may keep the entries; zero means 10 s.
+	EntriesTTL  time.Duration
 	Ready       func() error
 	Quarantine  Quarantine
 	RetryBudget RetryBudget
--- a/setting/field.go
+++ b/setting/field.go
@@ -90,13 +90,13 @@
 	return value(at, parseDuration, func(d time.Duration) error { return atLeast(d, least) })
 }
 
-// wholeSeconds reads a duration that the platform takes in whole seconds.
-func wholeSeconds(at func(*Settings) *time.Duration) field {
+// wholeSeconds reads a duration that is sent to others in whole seconds.
+func wholeSeconds(at func(*Settings) *time.Duration, least time.Duration) field {
 	return value(at, parseDuration, func(d time.Duration) error {
 		if d%time.Second != 0 {
 			return fmt.Errorf("%s is not a whole number of seconds", d)
 		}
-		return atLeast(d, 2*time.Second)
+		return atLeast(d, least)
 	})
 }
 
--- a/setting/settings.go
+++ b/setting/settings.go
@@ -46,7 +46,6 @@
 
 	ClaimWriteRate int
 	ClaimExpiry    time.Duration
-	QuarantineTime time.Duration
 
 	TimelineEvents int
 	LogLevel       zerolog.Level
--- a/setting/table.go
+++ b/setting/table.go
@@ -88,7 +88,7 @@
 	},
 	{
 		"coordinator-lease", "5s", "duration", "time to live of the coordinator's lease at the platform, whole seconds", false,
-		wholeSeconds(func(s *Settings) *time.Duration { return &s.CoordinatorLease }),
+		wholeSeconds(func(s *Settings) *time.Duration { return &s.CoordinatorLease }, 2*time.Second),
 	},
 	{
 		"owner-lease", "3s", "duration", "how long a heartbeat allows a daemon to act as owner", false,
@@ -141,8 +141,8 @@
 		duration(func(s *Settings) *time.Duration { return &s.IsolationLimit }, 100*time.Millisecond),
 	},
 	{
-		"entries-ttl", "10s", "duration", "how long callers may cache the entries", false,
-		duration(func(s *Settings) *time.Duration { return &s.EntriesTTL }, time.Second),
+		"entries-ttl", "10s", "duration", "how long callers may cache the entries, whole seconds", false,
+		wholeSeconds(func(s *Settings) *time.Duration { return &s.EntriesTTL }, time.Second),
 	},
 	{
 		"max-body", "8MiB", "size", "largest body of a request", false,
@@ -157,10 +157,6 @@
 		"claim-expiry", "10m", "duration", "how long an idempotency key is remembered", false,
 		duration(func(s *Settings) *time.Duration { return &s.ClaimExpiry }, time.Second),
 	},
-	{
-		"quarantine-time", "10m", "duration", "how long a poison request is refused", false,
-		duration(func(s *Settings) *time.Duration { return &s.QuarantineTime }, time.Second),
-	},
 
 	{
 		"timeline-events", "4096", "events", "events kept for the time line", false,
