--- a/command/document.go
+++ b/command/document.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"rattanline.example/rattanline/config"
@@ -29,14 +31,19 @@
 	}
 	d, err := config.Parse(data)
 	if err != nil {
-		return config.Document{}, fmt.Errorf("%s:\n%w", name, err)
+		return config.Document{}, &Exit{CodeFailure, errors.New(eachLine(name, err))}
 	}
 	return d, nil
 }
 
+// eachLine puts the name of the file before each problem of its text.
+func eachLine(name string, err error) string {
+	return name + ": " + strings.ReplaceAll(err.Error(), "\n", "\n"+name+": ")
+}
+
 func check() *cobra.Command {
 	return described("check", &cobra.Command{
-		Use: "check FILE", Args: cobra.ExactArgs(1),
+		Use: "check FILE", Args: exactly(1),
 		RunE: func(command *cobra.Command, args []string) error {
 			d, err := readDocument(command, args[0])
 			if err != nil {
@@ -52,7 +59,7 @@
 func submit(c *connection) *cobra.Command {
 	var base uint64
 	var id string
-	command := described("submit", &cobra.Command{Use: "submit FILE", Args: cobra.ExactArgs(1)})
+	command := described("submit", &cobra.Command{Use: "submit FILE", Args: exactly(1)})
 	command.Flags().Uint64Var(&base, "base", 0, "version that the file was derived from (default: the version in the file)")
 	command.Flags().StringVar(&id, "id", "", "id of an earlier submit of the same file whose outcome is unknown")
 	command.RunE = c.connected(func(ctx context.Context, command *cobra.Command, client *operator.Client, args []string) error {
@@ -97,7 +104,7 @@
 
 func show(c *connection) *cobra.Command {
 	var atLeast uint64
-	command := described("show", &cobra.Command{Use: "show", Args: cobra.NoArgs})
+	command := described("show", &cobra.Command{Use: "show", Args: exactly(0)})
 	command.Flags().Uint64Var(&atLeast, "at-least", 0, "version that must be shown, or a later one")
 	command.RunE = c.connected(func(ctx context.Context, command *cobra.Command, client *operator.Client, _ []string) error {
 		d, err := client.Configuration(ctx, atLeast)
@@ -115,7 +122,7 @@
 }
 
 func diff(c *connection) *cobra.Command {
-	command := described("diff", &cobra.Command{Use: "diff FILE", Args: cobra.ExactArgs(1)})
+	command := described("diff", &cobra.Command{Use: "diff FILE", Args: exactly(1)})
 	command.RunE = c.connected(func(ctx context.Context, command *cobra.Command, client *operator.Client, args []string) error {
 		d, err := readDocument(command, args[0])
 		if err != nil {
--- a/command/domain.go
+++ b/command/domain.go
@@ -14,7 +14,7 @@
 func restore(c *connection) *cobra.Command { return setDrained(c, "restore", false) }
 
 func setDrained(c *connection, name string, drained bool) *cobra.Command {
-	command := described(name, &cobra.Command{Use: name + " DOMAIN", Args: cobra.ExactArgs(1)})
+	command := described(name, &cobra.Command{Use: name + " DOMAIN", Args: exactly(1)})
 	command.RunE = c.connected(func(ctx context.Context, command *cobra.Command, client *operator.Client, args []string) error {
 		outcome, err := client.SetDrained(ctx, args[0], drained, uuid.NewString())
 		if err != nil {
--- a/command/exit.go
+++ b/command/exit.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
 )
 
 // The exit codes of the program.
@@ -31,6 +32,16 @@
 	return &Exit{Code: CodeUsage, Err: fmt.Errorf(format, args...)}
 }
 
+// exactly requires the number of arguments that the use line of a command shows.
+func exactly(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != n {
+			return usagef("%d arguments given; usage: %s", len(args), c.UseLine())
+		}
+		return nil
+	}
+}
+
 func exitCode(err error, ran bool) int {
 	var exit *Exit
 	switch {
--- a/command/settings.go
+++ b/command/settings.go
@@ -10,7 +10,7 @@
 
 func settings() *cobra.Command {
 	return described("settings", &cobra.Command{
-		Use: "settings", Args: cobra.NoArgs,
+		Use: "settings", Args: exactly(0),
 		RunE: func(command *cobra.Command, _ []string) error {
 			_, err := fmt.Fprint(command.OutOrStdout(), setting.Reference())
 			return err
--- a/command/status.go
+++ b/command/status.go
@@ -15,7 +15,7 @@
 
 func status(c *connection) *cobra.Command {
 	var asJSON bool
-	command := described("status", &cobra.Command{Use: "status", Args: cobra.NoArgs})
+	command := described("status", &cobra.Command{Use: "status", Args: exactly(0)})
 	command.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	command.RunE = c.connected(func(ctx context.Context, command *cobra.Command, client *operator.Client, _ []string) error {
 		s, err := client.Status(ctx)
--- a/command/timeline.go
+++ b/command/timeline.go
@@ -14,7 +14,7 @@
 	var f timeline.Filter
 	var since string
 	var asJSON bool
-	command := described("timeline", &cobra.Command{Use: "timeline", Args: cobra.NoArgs})
+	command := described("timeline", &cobra.Command{Use: "timeline", Args: exactly(0)})
 	flags := command.Flags()
 	flags.StringVar(&f.Request, "request", "", "only events of this request id")
 	flags.StringVar(&f.Account, "account", "", "only events of this client account")
