Show drained domains and an unlisted daemon in the status

Cause: the status didn't tell of a drain, and a daemon in no member table yet, for instance while the key-value service is down, printed an empty table and no events, so an operator couldn't see why it doesn't serve.

Change: the status names the drained failure domains (drained-failure-domains in JSON); the asked daemon is always listed, as unlisted if it is in no table. The operator test expects the drained domain in addition.

--- a/command/status.go
+++ b/command/status.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -33,8 +34,12 @@
 }
 
 func writeStatus(w io.Writer, s operator.Status) error {
-	fmt.Fprintf(w, "version %d; slowest %d at %d daemons; %d of %d daemons don't answer\n",
+	fmt.Fprintf(w, "version %d; slowest %d at %d daemons; %d of %d daemons don't answer",
 		s.Version, s.Slowest, len(s.SlowestDaemons), s.Silent, len(s.Hosts))
+	if len(s.Drained) > 0 {
+		fmt.Fprintf(w, "; drained: %s", strings.Join(s.Drained, ", "))
+	}
+	fmt.Fprintln(w)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "FAILURE DOMAIN\tDAEMON\tHOST\tMEMBER\tSTATE\tVERSION\tRUNNING\tQUEUED\tERROR")
 	for _, h := range s.Hosts {
--- a/operator/collector.go
+++ b/operator/collector.go
@@ -96,9 +96,18 @@
 	}
 }
 
-// members returns the members of all tables, silent and leaving ones included.
+// Unlisted is the member state of the asked daemon while it is in no table.
+const Unlisted member.State = "unlisted"
+
+// members returns the members of all tables, silent and leaving ones included,
+// and the asked daemon, whose status shows why it may not be among them.
 func members(v member.View) []member.Member {
 	var all []member.Member
+	if _, listed := v.Find(v.Self.Name); !listed && v.Self.Name != "" {
+		self := v.Self
+		self.State = Unlisted
+		all = append(all, self)
+	}
 	for _, domain := range v.Domains() {
 		all = append(all, v.Tables[domain].Members...)
 	}
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -41,10 +41,24 @@
 	// Version is the highest configuration version at any daemon that answered.
 	Version uint64 `json:"version"`
 	// Slowest is the lowest one, and SlowestDaemons are those that have it.
-	Slowest        uint64       `json:"slowest"`
-	SlowestDaemons []string     `json:"slowest-daemons"`
-	Silent         int          `json:"silent"` // daemons that didn't answer
-	Hosts          []HostStatus `json:"hosts"`
+	Slowest        uint64   `json:"slowest"`
+	SlowestDaemons []string `json:"slowest-daemons"`
+	Silent         int      `json:"silent"` // daemons that didn't answer
+	// Drained are the failure domains that the configuration at the asked daemon
+	// marks as drained.
+	Drained []string     `json:"drained-failure-domains,omitempty"`
+	Hosts   []HostStatus `json:"hosts"`
+}
+
+// drained returns the names of the drained failure domains.
+func drained(d config.Document) []string {
+	var names []string
+	for _, f := range d.FailureDomains {
+		if f.Drained {
+			names = append(names, f.Name)
+		}
+	}
+	return names
 }
 
 // Summarize computes the status of the fleet from that of its daemons.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -133,7 +133,9 @@
 	// Guards against a silent daemon that hides, or counts as the slowest version.
 	s, err := client.Status(ctx)
 	c.Assert(err, qt.IsNil)
-	c.Assert(s, qt.DeepEquals, operator.Summarize(f.Status(ctx)))
+	want := operator.Summarize(f.Status(ctx))
+	want.Drained = []string{"east"}
+	c.Assert(s, qt.DeepEquals, want)
 	c.Assert([]any{s.Version, s.Slowest, s.SlowestDaemons, s.Silent}, qt.DeepEquals, []any{uint64(7), uint64(6), []string{"d2"}, 1})
 
 	// Guards against filters that are lost on the way.
--- a/operator/server.go
+++ b/operator/server.go
@@ -183,7 +183,9 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, http.StatusOK, typeJSON, Summarize(s.Fleet.Status(r.Context())))
+	status := Summarize(s.Fleet.Status(r.Context()))
+	status.Drained = drained(s.Fleet.Configuration())
+	writeJSON(w, http.StatusOK, typeJSON, status)
 }
 
 func (s *Server) events(w http.ResponseWriter, r *http.Request) {
