Don't use a log key twice in one line

Cause: the line of a request has the host and failure domain of the daemon and, under the same keys, those of the target. JSON readers keep one of them, so a search for a daemon's lines found those of targets.

Change: target-host and target-failure-domain.

--- a/frontend/finish.go
+++ b/frontend/finish.go
@@ -31,7 +31,7 @@
 	c.record("request-finished", string(outcome))
 	line := c.handler.Logger.Info().
 		Str("request", c.id).Str("account", c.account.Name).Str("service", c.service.Name).
-		Str("target", c.target.Name).Str("host", c.target.Host).Str("failure-domain", c.target.FailureDomain).
+		Str("target", c.target.Name).Str("target-host", c.target.Host).Str("target-failure-domain", c.target.FailureDomain).
 		Str("outcome", string(outcome)).Int("status", c.out.staged.status).Int("attempts", c.attempts)
 	switch s := c.state.(type) {
 	case request.Refused:
