Name the setting of an address in use

Cause: "listen for callers" left open which of three settings to change, and the start line lacked the operators' address.

Change: the setting is named, the address is logged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,13 +84,13 @@
 	}
 	d.server = &link.Server{Address: d.Settings.LinkAddress, TLS: serverTLS, Logger: d.Logger}
 	if err := d.server.Listen(); err != nil {
-		return fmt.Errorf("listen for links: %w", err)
+		return fmt.Errorf("listen for links (link-address): %w", err)
 	}
 	if d.entry, err = net.Listen("tcp", d.Settings.EntryAddress); err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return fmt.Errorf("listen for callers (entry-address): %w", err)
 	}
 	if d.control, err = net.Listen("tcp", d.Settings.OperatorAddress); err != nil {
-		return fmt.Errorf("listen for operators: %w", err)
+		return fmt.Errorf("listen for operators (operator-address): %w", err)
 	}
 	if serverTLS != nil {
 		d.control = tls.NewListener(d.control, serverTLS)
@@ -161,7 +161,7 @@
 		return err
 	}
 	d.Logger.Info().Str("incarnation", d.self.Incarnation).Str("entry", d.self.EntryURL).
-		Str("link", d.self.LinkAddress).Msg("daemon started")
+		Str("link", d.self.LinkAddress).Str("operator", d.OperatorAddress()).Msg("daemon started")
 	entry := frontend.NewServer("", d.frontend, d.Logger)
 	control := d.operatorServer()
 
