--- /dev/null
+++ b/routing/example_test.go
@@ -0,0 +1,37 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"rattanline.example/rattanline/routing"
+)
+
+func ExampleChoose() {
+	r := rand.New(rand.NewPCG(1, 2))
+	near := routing.Candidate{Target: "near", Local: true, Free: 1, InFlight: 7, Latency: 20 * time.Millisecond}
+	far := routing.Candidate{Target: "far", Free: 4, InFlight: 4, Latency: 20 * time.Millisecond}
+	for _, slack := range []time.Duration{5 * time.Millisecond, 10 * time.Millisecond} {
+		chosen, _ := routing.Choose([]routing.Candidate{near, far}, slack, r)
+		fmt.Println(slack, chosen.Target)
+	}
+	_, ok := routing.Choose(nil, 0, r)
+	fmt.Println(ok)
+	// Output:
+	// 5ms far
+	// 10ms near
+	// false
+}
+
+func ExampleBudget() {
+	b := routing.NewBudget(0.1, 1)
+	fmt.Println(b.TryRetry(), b.TryRetry())
+	for range 10 {
+		b.Request()
+	}
+	fmt.Println(b.TryRetry(), b.TryRetry())
+	// Output:
+	// true false
+	// true false
+}
--- /dev/null
+++ b/usage/example_test.go
@@ -0,0 +1,26 @@
+package usage_test
+
+import (
+	"fmt"
+
+	"rattanline.example/rattanline/usage"
+)
+
+// Counters are costs divided by the share; the account with the lowest is next.
+func ExampleLedger() {
+	shares := map[string]float64{"counter": 4, "drafts": 1}
+	l := usage.NewLedger(usage.Source{Daemon: "d1", Incarnation: "a"}, func(account string) float64 { return shares[account] })
+	l.SetWaiting("assistant", "counter", true)
+	l.Charge("counter", 100)
+	fmt.Println("counter:", l.Counter("assistant", "counter"))
+
+	// An account that starts to wait gets no credit for the time before.
+	l.SetWaiting("assistant", "drafts", true)
+	fmt.Println("drafts:", l.Counter("assistant", "drafts"))
+	l.Charge("drafts", 10)
+	fmt.Println("drafts:", l.Counter("assistant", "drafts"))
+	// Output:
+	// counter: 25
+	// drafts: 25
+	// drafts: 35
+}
