Keep drained states when a configuration is submitted

Cause: a file under version control doesn't mention a drain, so its submit put the drained failure domain back into service.

Change: a submit keeps the drained state of each failure domain that the current version has; only drains and restores (Request.SetsDrained) change it. This also holds for a file that says 'drained: true': an old file must not take a domain out of service either. New failure domains take the state of the file. The answer, its resend, the conflict's difference, 'diff' and the log list what is kept.

Ruled out: telling a missing from a false 'drained' in the file, because 'show' leaves out false, so its output would mean something else.

--- a/command/document.go
+++ b/command/document.go
@@ -92,7 +92,7 @@
 func report(command *cobra.Command, outcome submission.Outcome, again string) error {
 	switch o := outcome.(type) {
 	case submission.Accepted:
-		fmt.Fprintf(command.OutOrStdout(), "accepted as version %d\n", o.Version)
+		fmt.Fprintf(command.OutOrStdout(), "accepted as version %d\n%s", o.Version, o.Kept)
 		return nil
 	case submission.Conflict:
 		fmt.Fprint(command.OutOrStdout(), o.Diff)
@@ -132,11 +132,12 @@
 		if err != nil {
 			return err
 		}
+		d, kept := submission.KeepDrained(current, d)
 		text := config.Diff(current, d)
 		if text == "" {
 			text = fmt.Sprintf("no difference from version %d\n", current.Version)
 		}
-		_, err = fmt.Fprint(command.OutOrStdout(), text)
+		_, err = fmt.Fprint(command.OutOrStdout(), text+kept)
 		return err
 	})
 	return command
--- a/operator/client.go
+++ b/operator/client.go
@@ -155,7 +155,7 @@
 func (r result) outcome() submission.Outcome {
 	switch r.Outcome {
 	case accepted:
-		return submission.Accepted{Version: r.Version}
+		return submission.Accepted{Version: r.Version, Kept: r.Kept}
 	case conflict:
 		o := submission.Conflict{Diff: r.Difference}
 		if r.Current != nil {
--- a/operator/drain.go
+++ b/operator/drain.go
@@ -51,7 +51,7 @@
 			err := fmt.Errorf("version %d has no failure domain %q", d.Version, domain)
 			return nil, backoff.Permanent(error(problemf(http.StatusNotFound, err)))
 		}
-		request.Base, request.Document = d.Version, d.WithDrained(domain, drained)
+		request.Base, request.Document, request.SetsDrained = d.Version, d.WithDrained(domain, drained), true
 		outcome, err := s.Fleet.Submit(ctx, *request)
 		if err != nil {
 			return nil, backoff.Permanent(err)
--- a/operator/message.go
+++ b/operator/message.go
@@ -72,6 +72,8 @@
 	SubmitID   string `json:"submit-id"`
 	Version    uint64 `json:"version,omitempty"` // accepted, or the current one in a conflict
 	Difference string `json:"difference,omitempty"`
+	// Kept lists the drained states that an accepted submit did not change.
+	Kept string `json:"kept,omitempty"`
 	// Current is the current document in a conflict.
 	Current *config.Document `json:"current,omitempty"`
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -44,6 +44,14 @@
 		c.Assert(o, qt.Equals, submission.Accepted{Version: 4})
 		c.Assert(f.requests, qt.DeepEquals, []submission.Request{{Base: 3, ID: "x", Author: "plain", Document: east(0, true)}})
 	})
+	// Guards against an answer that hides what was kept.
+	t.Run("kept", func(t *testing.T) {
+		want := submission.Accepted{Version: 4, Kept: "= kept\n"}
+		c, client := serve(t, &fleet{script: []submission.Outcome{want}}, nil)
+		o, err := client.Submit(ctx, request)
+		c.Assert(err, qt.IsNil)
+		c.Assert(o, qt.Equals, want)
+	})
 	// Guards against conflicts without the difference and the current document.
 	t.Run("conflict", func(t *testing.T) {
 		c, client := serve(t, &fleet{document: east(5, false)}, nil)
@@ -103,12 +111,14 @@
 		c.Assert(o, qt.Equals, submission.Accepted{Version: 10})
 		c.Assert(f.document, qt.DeepEquals, current.WithDrained("east", true).WithVersion(10))
 	})
+	// Guards against a restore that is taken for a submit, which keeps the drain.
 	t.Run("restore", func(t *testing.T) {
 		f := &fleet{document: east(3, true)}
 		c, client := serve(t, f, nil)
 		_, err := client.SetDrained(ctx, "east", false, "x")
 		c.Assert(err, qt.IsNil)
 		c.Assert(f.document, qt.DeepEquals, east(4, false))
+		c.Assert(f.requests[0].SetsDrained, qt.IsTrue)
 	})
 	t.Run("no such domain", func(t *testing.T) {
 		c, client := serve(t, &fleet{document: east(3, false)}, nil)
--- a/operator/server.go
+++ b/operator/server.go
@@ -171,13 +171,16 @@
 	status, reply := http.StatusOK, result{SubmitID: request.ID}
 	switch o := o.(type) {
 	case submission.Accepted:
-		reply.Outcome, reply.Version = accepted, o.Version
+		reply.Outcome, reply.Version, reply.Kept = accepted, o.Version, o.Kept
 	case submission.Conflict:
 		status = http.StatusConflict
 		reply.Outcome, reply.Version, reply.Difference, reply.Current = conflict, o.Current.Version, o.Diff, &o.Current
 	default:
 		status, reply.Outcome = http.StatusAccepted, unknown
 	}
+	if reply.Kept != "" {
+		log = log.Str("kept", reply.Kept)
+	}
 	log.Str("outcome", reply.Outcome).Uint64("version", reply.Version).Msg("configuration change")
 	writeJSON(w, status, typeJSON, reply)
 }
--- /dev/null
+++ b/submission/drained.go
@@ -0,0 +1,34 @@
+package submission
+
+import (
+	"fmt"
+	"strings"
+
+	"rattanline.example/rattanline/config"
+)
+
+// KeepDrained returns the document with the drained states that the current
+// version has, and one line for each state that differed in the document. Files
+// under version control don't follow drains; a submit of one must not put a
+// failure domain back into service, or take it out.
+func KeepDrained(current, d config.Document) (config.Document, string) {
+	var kept strings.Builder
+	for _, f := range current.FailureDomains {
+		submitted, ok := d.FailureDomain(f.Name)
+		if !ok || submitted.Drained == f.Drained {
+			continue
+		}
+		d = d.WithDrained(f.Name, f.Drained)
+		fmt.Fprintf(&kept, "= failure-domains/%s/drained: %t (kept; only drain and restore change it)\n", f.Name, f.Drained)
+	}
+	return d, kept.String()
+}
+
+// merge returns the document that the request would store after the current
+// version, and what it keeps of that version.
+func (r Request) merge(current config.Document) (config.Document, string) {
+	if r.SetsDrained {
+		return r.Document, ""
+	}
+	return KeepDrained(current, r.Document)
+}
--- a/submission/envelope.go
+++ b/submission/envelope.go
@@ -31,16 +31,17 @@
 type Submit struct {
 	ID      string `json:"id"`
 	Version uint64 `json:"version"`
+	Kept    string `json:"kept,omitempty"` // see Accepted
 }
 
-// find returns the version that the submit with the id was accepted as.
-func (e Envelope) find(id string) (uint64, bool) {
+// find returns the outcome of the submit with the id.
+func (e Envelope) find(id string) (Accepted, bool) {
 	for _, s := range e.Submits {
 		if s.ID == id {
-			return s.Version, true
+			return Accepted{Version: s.Version, Kept: s.Kept}, true
 		}
 	}
-	return 0, false
+	return Accepted{}, false
 }
 
 // forgot tells whether a submit on the base version may have been accepted and
@@ -52,12 +53,13 @@
 // next returns the envelope after the request is accepted.
 func (e Envelope) next(r Request, now time.Time) Envelope {
 	version := e.Version + 1
-	submits := append(slices.Clone(e.Submits), Submit{ID: r.ID, Version: version})
+	document, kept := r.merge(e.Document)
+	submits := append(slices.Clone(e.Submits), Submit{ID: r.ID, Version: version, Kept: kept})
 	return Envelope{
 		Version:  version,
 		Author:   r.Author,
 		Time:     now,
-		Document: r.Document.WithVersion(version),
+		Document: document.WithVersion(version),
 		Submits:  submits[max(len(submits)-historyLength, 0):],
 	}
 }
--- a/submission/outcome.go
+++ b/submission/outcome.go
@@ -11,6 +11,9 @@
 	// Author is recorded with the version.
 	Author   string
 	Document config.Document
+	// SetsDrained tells that the request is a drain or restore. All others keep
+	// the drained states of the current version; see KeepDrained.
+	SetsDrained bool
 	// Resubmitted tells that an earlier attempt ended as Unknown. When so many
 	// versions followed that the history no longer tells, the result is Unknown
 	// and not Conflict.
@@ -21,13 +24,19 @@
 type Outcome interface{ outcome() }
 
 // Accepted means that the write is known to have taken effect.
-type Accepted struct{ Version uint64 }
+type Accepted struct {
+	Version uint64
+	// Kept has a line for each drained state in which the stored document differs
+	// from the submitted one.
+	Kept string
+}
 
 // Conflict means that the base is not the current version and that the document
 // was not stored.
 type Conflict struct {
 	Current config.Document
-	// Diff leads from the current to the submitted document.
+	// Diff leads from the current to the submitted document, less the drained
+	// states that would be kept, which it lists as such.
 	Diff string
 }
 
--- a/submission/store.go
+++ b/submission/store.go
@@ -101,8 +101,8 @@
 		// Reading again can't repair the value.
 		return nil, backoff.Permanent(fmt.Errorf("read configuration: %w", err))
 	}
-	if version, ok := e.find(a.request.ID); ok {
-		return Accepted{Version: version}, nil
+	if accepted, ok := e.find(a.request.ID); ok {
+		return accepted, nil
 	}
 	if e.Version != a.request.Base {
 		if a.uncertain && e.forgot(a.request.Base) {
@@ -110,10 +110,8 @@
 		}
 		// All writes of this id require the revision of the base version, so
 		// none that is still on its way can take effect any more.
-		return Conflict{
-			Current: e.Document,
-			Diff:    config.Diff(e.Document, a.request.Document),
-		}, nil
+		document, kept := a.request.merge(e.Document)
+		return Conflict{Current: e.Document, Diff: config.Diff(e.Document, document) + kept}, nil
 	}
 	return a.write(ctx, e, entry.Revision)
 }
@@ -138,5 +136,6 @@
 	case !result.Committed:
 		return nil, errors.New("write configuration: changed by another submit")
 	}
-	return Accepted{Version: next.Version}, nil
+	accepted, _ := next.find(a.request.ID)
+	return accepted, nil
 }
