Say more in two events

Cause: the time line of a refused request told "not-run" without the reason, and "configuration-accepted" an author without the version.

Change: "not-run: queue-full" and "version 1, author yanagi".

Result: go test ./frontend ./session (mutual-tls, refusals) passes.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/operator"
@@ -27,7 +28,8 @@
 func (f fleet) Submit(ctx context.Context, r submission.Request) (submission.Outcome, error) {
 	outcome, err := f.d.store.Submit(ctx, r)
 	if accepted, ok := outcome.(submission.Accepted); ok {
-		f.d.events.Record(timeline.Event{Kind: "configuration-accepted", Detail: r.Author})
+		detail := fmt.Sprintf("version %d, author %s", accepted.Version, r.Author)
+		f.d.events.Record(timeline.Event{Kind: "configuration-accepted", Detail: detail})
 		if err := f.d.refreshTo(ctx, accepted.Version, acceptedTimeout); err != nil {
 			f.d.Logger.Warn().Err(err).Uint64("version", accepted.Version).Msg("accepted version not yet in force here")
 		}
--- a/frontend/finish.go
+++ b/frontend/finish.go
@@ -31,7 +31,11 @@
 	total := time.Since(c.arrived)
 	requestDuration.Update(total.Seconds())
 	c.handler.counter(outcomeLabels{c.account.Name, c.service.Name, outcome}).Inc()
-	c.record("request-finished", string(outcome))
+	detail := string(outcome)
+	if s, ok := c.state.(request.Refused); ok {
+		detail += ": " + string(s.Refusal.Reason)
+	}
+	c.record("request-finished", detail)
 	line := c.handler.Logger.Info().
 		Str("request", c.id).Str("account", c.account.Name).Str("service", c.service.Name).
 		Str("target", c.target.Name).Str("target-host", c.target.Host).Str("target-failure-domain", c.target.FailureDomain).
--- a/session/command_test.go
+++ b/session/command_test.go
@@ -93,7 +93,11 @@
 
 // requestID sets $request to the id in the last output of the program http.
 func requestID(ts *testscript.TestScript, _ bool, _ []string) {
-	ts.Setenv("request", uuidPattern.FindString(ts.ReadFile("stdout")))
+	id := uuidPattern.FindString(ts.ReadFile("stdout"))
+	if id == "" {
+		ts.Fatalf("the output has no request id")
+	}
+	ts.Setenv("request", id)
 }
 
 // expand replaces the variables in the files: expand FILE...
