--- a/submission/store.go
+++ b/submission/store.go
@@ -47,13 +47,22 @@
 		return nil, fmt.Errorf("submit: %w", err)
 	}
 	a := attempt{store: s, request: r, uncertain: r.Resubmitted}
-	outcome, err := backoff.Retry(ctx, func() (Outcome, error) { return a.try(ctx) },
+	outcome, err := backoff.Retry(ctx, func() (outcome Outcome, err error) {
+		outcome, err = a.try(ctx)
+		if err != nil && (a.failure == nil || ctx.Err() == nil) {
+			a.failure = err
+		}
+		return outcome, err
+	},
 		backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
 	switch {
 	case err == nil:
 		return outcome, nil
 	case a.uncertain:
 		return Unknown{}, nil
+	case ctx.Err() != nil && a.failure != nil:
+		// Why the tries failed tells more than that the time is over.
+		return nil, fmt.Errorf("submit: gave up: %w", a.failure)
 	default:
 		return nil, fmt.Errorf("submit: %w", err)
 	}
@@ -77,6 +86,7 @@
 	// uncertain is set while an earlier write may still take effect or may have
 	// taken effect unnoticed.
 	uncertain bool
+	failure   error // of the last try that had time to fail
 }
 
 // try reads the current version and, if it is the base, writes once. A returned
@@ -91,8 +101,8 @@
 		// Reading again can't repair the value.
 		return nil, backoff.Permanent(fmt.Errorf("read configuration: %w", err))
 	}
-	if version, ok := e.find(a.request.ID); ok {
-		return Accepted{Version: version}, nil
+	if accepted, ok := e.find(a.request.ID); ok {
+		return accepted, nil
 	}
 	if e.Version != a.request.Base {
 		if a.uncertain && e.forgot(a.request.Base) {
@@ -100,10 +110,8 @@
 		}
 		// All writes of this id require the revision of the base version, so
 		// none that is still on its way can take effect any more.
-		return Conflict{
-			Current: e.Document,
-			Diff:    config.Diff(e.Document, a.request.Document),
-		}, nil
+		document, kept := a.request.merge(e.Document)
+		return Conflict{Current: e.Document, Diff: config.Diff(e.Document, document) + kept}, nil
 	}
 	return a.write(ctx, e, entry.Revision)
 }
@@ -128,5 +136,6 @@
 	case !result.Committed:
 		return nil, errors.New("write configuration: changed by another submit")
 	}
-	return Accepted{Version: next.Version}, nil
+	accepted, _ := next.find(a.request.ID)
+	return accepted, nil
 }
