End a claim writer without an error while it waits for the write rate

Cause: the wait for the write rate returned the end of the context as an error, so a daemon that stopped with claims waiting exited with 1.

Result: go test ./claim passes.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -116,6 +116,9 @@
 			// The batch is taken again after the wait, so that operations that
 			// came in the meantime don't wait a second time.
 			if err := w.limiter.Wait(ctx); err != nil {
+				if ctx.Err() != nil {
+					return nil
+				}
 				return fmt.Errorf("wait for the write rate: %w", err)
 			}
 			if batch = w.take(batch); len(batch) == 0 {
