Send a change of the configuration instead of the whole document

Ruled out: compression alone, for the same reason.

Change: a node keeps the last 8 versions and sends the difference to receivers that hold one of them, in heartbeats and exchanges.

--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -56,7 +56,7 @@
 	}
 	if !c.peer.met {
 		// Its version isn't known yet; the reply shows whether it lacks this one.
-		args.Feed.Configuration = nil
+		args.Feed.Configuration, args.Feed.Change = nil, nil
 	}
 	if ro.restored && c.Domain != n.Self.Domain {
 		args.Usage = usage.DomainReport{Domain: n.Self.Domain, Report: ro.aggregate.DomainReport(c.peer.holds)}
--- a/coordinator/feed.go
+++ b/coordinator/feed.go
@@ -72,7 +72,9 @@
 		}
 	}
 	if d := n.doc.Load(); d.Version > version {
-		f.Configuration = d
+		if f.Change = n.history.change(version, *d); f.Change == nil {
+			f.Configuration = d
+		}
 	}
 	return f
 }
@@ -99,6 +101,12 @@
 	if f.Configuration != nil {
 		n.adoptConfiguration(*f.Configuration)
 	}
+	if f.Change != nil {
+		// A change of another base than the version held came too late.
+		if d, err := n.doc.Load().WithDelta(*f.Change); err == nil {
+			n.adoptConfiguration(d)
+		}
+	}
 	return f.Marks
 }
 
--- /dev/null
+++ b/coordinator/history.go
@@ -0,0 +1,47 @@
+package coordinator
+
+import "rattanline.example/rattanline/config"
+
+// historyVersions is the number of former versions kept. At 14,000 changes a
+// day a daemon that is this many behind was away for about a minute.
+const historyVersions = 8
+
+// history keeps the last versions of the configuration, so that daemons which
+// hold one of them are sent the difference and not the whole document. The
+// documents share the strings of unchanged items.
+type history struct {
+	documents []config.Document
+	// changes are the differences computed so far, by base, that lead to target.
+	changes map[uint64]*config.Delta
+	target  uint64
+}
+
+// add keeps a version that is no longer in force.
+func (h *history) add(d config.Document) {
+	if d.Version == 0 {
+		return
+	}
+	h.documents = append(h.documents, d)
+	if len(h.documents) > historyVersions {
+		h.documents = h.documents[1:]
+	}
+}
+
+// change returns the difference from a version to the one in force, nil if that
+// version is no longer kept.
+func (h *history) change(version uint64, current config.Document) *config.Delta {
+	if h.target != current.Version {
+		h.target, h.changes = current.Version, map[uint64]*config.Delta{}
+	}
+	if c := h.changes[version]; c != nil {
+		return c
+	}
+	for _, d := range h.documents {
+		if d.Version == version {
+			delta := config.Between(d, current)
+			h.changes[version] = &delta
+			return &delta
+		}
+	}
+	return nil
+}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -58,7 +58,8 @@
 }
 
 // Feed carries what changed at the sender after the version that the receiver
-// has seen. Configuration is sent only if the receiver's version is older.
+// has seen. A receiver with an older configuration gets a change if the sender
+// still holds that version, and the whole document otherwise.
 type Feed struct {
 	Incarnation   string
 	Version       uint64
@@ -67,6 +68,7 @@
 	Hosts         *HostReport
 	Marks         []quarantine.Mark
 	Configuration *config.Document
+	Change        *config.Delta
 }
 
 // HeartbeatArgs is what a daemon tells the coordinator that it follows.
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -62,6 +62,7 @@
 
 	mu       sync.Mutex
 	feed     feed
+	history  history
 	contacts contacts
 	hosts    hosts
 	marks    []quarantine.Mark
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -101,6 +101,7 @@
 	if d.Version <= n.doc.Load().Version {
 		return
 	}
+	n.history.add(*n.doc.Load())
 	n.doc.Store(&d)
 	n.record("configuration-in-force", fmt.Sprint(d.Version))
 }
