--- a/cmd/rattanline/main.go
+++ b/cmd/rattanline/main.go
@@ -4,15 +4,14 @@
 import (
 	"os"
 
-	"github.com/spf13/cobra"
-
 	"rattanline.example/rattanline/capacity"
 	"rattanline.example/rattanline/command"
 	"rattanline.example/rattanline/demo"
+	"rattanline.example/rattanline/measure"
 )
 
 func main() {
-	measurements := &cobra.Command{Use: "measure", Short: "Measure fairness and the cost of control"}
+	measurements := measure.Command()
 	measurements.AddCommand(capacity.Command())
 	root := command.Root(os.Stdout, os.Stderr)
 	root.AddCommand(demo.Command(), measurements)
--- a/measure/command.go
+++ b/measure/command.go
@@ -14,7 +14,7 @@
 
 // Command returns "measure" with the subcommand "fairness".
 func Command() *cobra.Command {
-	c := &cobra.Command{Use: "measure", Short: "Measure the policy on a fleet inside this process"}
+	c := &cobra.Command{Use: "measure", Short: "Measure fairness and the cost of control on fleets inside this process"}
 	c.AddCommand(fairnessCommand())
 	return c
 }
