Test the adoption of slots and limits by a new owner

Cause: the property test covers the wait of a new owner but not the limit that it takes over from holders.

Change: TestAdoption.

--- a/slot/owner_test.go
+++ b/slot/owner_test.go
@@ -244,3 +244,31 @@
 	b.pass(0)
 	b.c.Assert(b.renew(b.renewal(second, nil, "b")).Granted, qt.HasLen, 0)
 }
+
+// TestAdoption guards against a new owner that restarts the ramp-up, or grants
+// slots that holders of the former owner may not have reported yet.
+func TestAdoption(t *testing.T) {
+	b := &bench{c: qt.New(t), f: &fixed{limit: 1}, now: epoch}
+	b.o = newOwner("owner", b.f, even)
+	b.pass(0)
+	r := b.renewal(first, nil, "a", "a", "a", "a")
+	for i := range uint64(3) {
+		r.Slots = append(r.Slots, slot.Held{Slot: slot.Slot{Target: target, Owner: second, Number: i}, Busy: true})
+	}
+	r.States = []slot.TargetState{{Target: target, Incarnation: "1", Limit: 4, Ramping: true}}
+	reply := b.renew(r)
+	b.c.Assert(reply.Valid, qt.HasLen, 3)
+	b.c.Assert(reply.Granted, qt.HasLen, 0)
+	b.c.Assert(*b.f, qt.Equals, fixed{limit: 4, ramping: true, incarnation: "1"})
+	b.pass(times.OwnerLease)
+	again := b.renewal(first, nil, "a", "a", "a", "a")
+	again.Slots = r.Slots
+	b.renew(again)
+	b.assertKnown(3)
+	b.pass(times.SlotLease - 1)
+	b.assertKnown(3)
+	again.Sequence++
+	b.pass(1)
+	b.renew(again)
+	b.assertKnown(4)
+}
