Keep shares within the limit when members restart, leave and join

The test of random faults got more of them (lost responses, one daemon or a domain cut off, leaving) and showed shares of 8 of 7, 10 of 7:

- A member that was gone stopped being counted at once, while a coordinator that didn't know still used the lease of the former run (2 of 3 against 1 of 2).
It now counts as vacant for a follower lease after its last heartbeat, or after the start of its next run, which is told in the heartbeat.
- A joining member was settled while owners still used a share told under the table before it (1 of 1 against 1 of 2).
It is settled when all have held the table for an owner lease.
- A coordinator without the platform cancelled a joining member that another one was settling (1 of 1 against 1 of 2).
Only a confirmed one may cancel.
- Two coordinators of a domain never met after 15 s apart, because a contact that wasn't heard was forgotten right after it was learned again.

member.Member has a new field Vacant. Ruled out: letting the new run take the place of the former one, since it doesn't know which table that one had acknowledged.

--- a/coordinator/contact.go
+++ b/coordinator/contact.go
@@ -5,9 +5,10 @@
 // contact is a coordinator with the time of the last direct call with it.
 type contact struct {
 	Contact
-	heard  time.Time
-	called time.Time
-	peer   peer
+	heard   time.Time
+	learned time.Time
+	called  time.Time
+	peer    peer
 }
 
 // contacts are the known coordinators by name. A split domain has several.
@@ -77,7 +78,7 @@
 	old := n.contacts[c.Name]
 	switch {
 	case old == nil:
-		old = &contact{Contact: c}
+		old = &contact{Contact: c, learned: now}
 		n.contacts[c.Name] = old
 		n.feed.touch(contactItem + c.Name)
 	case old.Contact == c:
@@ -100,7 +101,7 @@
 func (n *Node) forgetReplaced(now time.Time) {
 	for name, c := range n.contacts {
 		best, _ := n.contacts.best(c.Domain, now)
-		if best.Name != name && now.Sub(c.heard) > dropContact && now.Sub(n.started) > dropContact {
+		if best.Name != name && now.Sub(c.heard) > dropContact && now.Sub(c.learned) > dropContact {
 			delete(n.contacts, name)
 		}
 	}
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -145,6 +145,19 @@
 	fl.store.block(name, false)
 }
 
+// leave stops a daemon gracefully.
+func (fl *fleet) leave(name string) {
+	n := fl.nodes[name]
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	// A daemon that is cut off can't publish that it leaves and stops anyway.
+	_ = n.Leave(ctx)
+	n.cancel()
+	<-n.done
+	delete(fl.nodes, name)
+	fl.links.register(name, nil)
+}
+
 // until advances the time in small steps, checking the shares at each, until
 // the condition holds.
 func (fl *fleet) until(limit time.Duration, what string, condition func() bool) time.Duration {
--- a/coordinator/heartbeat.go
+++ b/coordinator/heartbeat.go
@@ -51,7 +51,7 @@
 	f := &n.follow
 	args := HeartbeatArgs{
 		Name: n.Self.Name, Incarnation: n.Self.Incarnation, Domain: n.Self.Domain,
-		Leaving: n.leaving,
+		Age: sent.Sub(n.started), Leaving: n.leaving,
 		Epoch:   n.view.Load().Tables[n.Self.Domain].Epoch,
 		Seen:    f.seen[to.seenKey()],
 		Version: n.doc.Load().Version,
--- a/coordinator/hosts.go
+++ b/coordinator/hosts.go
@@ -10,8 +10,9 @@
 )
 
 // unlistedFor is how long a host must be missing from all successful reads of
-// the host list, because one wrong read must not stop a member's counting.
-const unlistedFor = 5 * time.Second
+// the host list, because one wrong read must not stop a member's counting. It
+// exceeds the follower lease, which another coordinator may still use.
+const unlistedFor = 7 * time.Second
 
 // staleAfter is the age from which an own reading gives way to another
 // coordinator's, which may still reach the platform's list.
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -75,6 +75,7 @@
 	Incarnation string
 	Domain      string
 	Member      *member.Member // when the coordinator asked for it
+	Age         time.Duration  // of this run
 	Leaving     bool
 	Gone        bool // the last message of this run
 	Echo        Echo
--- a/coordinator/publish.go
+++ b/coordinator/publish.go
@@ -13,7 +13,7 @@
 const publishInterval = 300 * time.Millisecond
 
 func (n *Node) rules() member.Rules {
-	return member.Rules{SilentAfter: n.SilentAfter, ForgetAfter: n.ForgetAfter}
+	return member.Rules{SilentAfter: n.SilentAfter, ForgetAfter: n.ForgetAfter, Promise: n.FollowerLease, Settle: n.OwnerLease}
 }
 
 func (n *Node) knowledge(now time.Time, confirmed bool) member.Knowledge {
--- a/coordinator/receiver.go
+++ b/coordinator/receiver.go
@@ -83,11 +83,14 @@
 			ro.former[args.Name] = e.Member.Incarnation
 			ro.followers.Drop(args.Name)
 		}
-		e = member.Evidence{}
+		e = member.Evidence{Started: now.Add(-args.Age)}
 	}
 	if args.Member != nil {
 		e.Member = *args.Member
 	}
+	if e.Epoch != args.Epoch {
+		e.Since = now
+	}
 	e.Heard, e.Leaving, e.Gone, e.Epoch = now, args.Leaving, args.Gone, args.Epoch
 	ro.evidence[args.Name] = e
 	if args.Table != nil {
--- a/coordinator/record.go
+++ b/coordinator/record.go
@@ -33,6 +33,7 @@
 	State       member.State `json:"state"`
 	Counted     bool         `json:"counted,omitempty"`
 	Joining     bool         `json:"joining,omitempty"`
+	Vacant      bool         `json:"vacant,omitempty"`
 }
 
 func encodeContact(c Contact) ([]byte, error) {
@@ -61,7 +62,7 @@
 	for _, m := range t.Members {
 		r.Members = append(r.Members, memberRecord{
 			Name: m.Name, Host: m.Host, Incarnation: m.Incarnation, LinkAddress: m.LinkAddress,
-			EntryURL: m.EntryURL, State: m.State, Counted: m.Counted, Joining: m.Joining,
+			EntryURL: m.EntryURL, State: m.State, Counted: m.Counted, Joining: m.Joining, Vacant: m.Vacant,
 		})
 	}
 	value, err := json.Marshal(r)
@@ -80,7 +81,7 @@
 	for _, m := range r.Members {
 		t = t.With(member.Member{
 			Name: m.Name, Host: m.Host, Domain: r.Domain, Incarnation: m.Incarnation, LinkAddress: m.LinkAddress,
-			EntryURL: m.EntryURL, State: m.State, Counted: m.Counted, Joining: m.Joining,
+			EntryURL: m.EntryURL, State: m.State, Counted: m.Counted, Joining: m.Joining, Vacant: m.Vacant,
 		})
 	}
 	return t, nil
--- a/member/evidence.go
+++ b/member/evidence.go
@@ -5,10 +5,13 @@
 // Evidence is what a coordinator heard from one daemon.
 type Evidence struct {
 	Member  Member    // as the daemon described itself
+	Started time.Time // of this run; former runs made no promise after it
 	Heard   time.Time // last heartbeat
 	Leaving bool
 	Gone    bool  // it said goodbye
 	Epoch   Epoch // the newest table of its domain that it holds
+	// Since is when it was first heard to hold that table.
+	Since time.Time
 }
 
 // Knowledge is what a coordinator decides the next table from.
@@ -31,6 +34,13 @@
 	SilentAfter time.Duration
 	// ForgetAfter removes a silent member that isn't counted.
 	ForgetAfter time.Duration
+	// Promise is the follower lease: a member that is gone counts for so long
+	// after its last heartbeat, because a coordinator that doesn't know may use
+	// its lease and what it told owners.
+	Promise time.Duration
+	// Settle is the owner lease: members that are joining are settled only after
+	// the shares told under the table before have expired.
+	Settle time.Duration
 }
 
 // Next returns the table that follows from the evidence, under the same epoch,
@@ -49,14 +59,14 @@
 		}
 	}
 	if k.Confirmed {
-		next = count(t, next, k)
+		next = r.count(t, next, k)
 	}
 	return next, !equal(t, next)
 }
 
 func (e Evidence) member(s State) Member {
 	m := e.Member
-	m.State, m.Counted, m.Joining = s, false, false
+	m.State, m.Counted, m.Joining, m.Vacant = s, false, false, false
 	return m
 }
 
@@ -77,15 +87,17 @@
 	last := k.Since
 	switch {
 	case heard && e.Gone:
-		return m, false
-	case heard && e.Member.Incarnation != m.Incarnation:
-		// The former run is gone and with it its promise and what it knew.
-		m = e.member(Live)
-		last = e.Heard
+		m.State, m.Vacant = Silent, true
+		return m, m.Counted && k.Now.Sub(e.Heard) < r.Promise
 	case heard:
-		fresh := e.Member
-		fresh.Counted, fresh.Joining, fresh.State = m.Counted, m.Joining, m.State
-		m, last = fresh, e.Heard
+		fresh := e.member(m.State)
+		if fresh.Incarnation == m.Incarnation {
+			fresh.Counted, fresh.Joining, fresh.Vacant = m.Counted, m.Joining, m.Vacant
+		} else if m.Counted {
+			// The former run is gone, and the new one doesn't know its promise.
+			fresh.Counted, fresh.Joining, fresh.Vacant = true, m.Joining, true
+		}
+		m, last = fresh.vacated(k.Now.Sub(e.Started) >= r.Promise), e.Heard
 	case m.State == Silent:
 		// A silent member stays silent under a new coordinator until it is heard.
 		last = k.Now.Add(-r.SilentAfter)
@@ -94,9 +106,14 @@
 	if m.State != Silent {
 		return m, true
 	}
-	if m.Joining {
+	if m.Joining && k.Confirmed {
+		// Without the platform, another coordinator that has all acknowledgements
+		// may settle the member at the same time.
 		m.Counted, m.Joining = false, false
 	}
+	if !heard {
+		m = m.vacated(k.Now.Sub(k.Since) >= r.Promise)
+	}
 	if m.Counted {
 		return m, !k.Unlisted(m.Host)
 	}
@@ -107,17 +124,28 @@
 	return m, k.Now.Sub(silentSince) < r.ForgetAfter
 }
 
+// vacated ends the counting of a member that is gone, if its promise has ended.
+func (m Member) vacated(ended bool) Member {
+	if m.Vacant && ended {
+		m.Counted, m.Joining, m.Vacant = false, false, false
+	}
+	return m
+}
+
 // count lets members join the counted ones, in two steps: when all counted
 // members hold the table, live members start joining; when all of these and the
-// joining members hold that table, they are settled. A coordinator that doesn't
+// joining members have held that table for an owner lease, they are settled. A coordinator that doesn't
 // know of the joining members then has no follower among the counted ones.
-func count(old, next Table, k Knowledge) Table {
-	counted, joining, acknowledged := 0, 0, true
+func (r Rules) count(old, next Table, k Knowledge) Table {
+	counted, joining, acknowledged, settled := 0, 0, true, true
 	for _, m := range next.Members {
 		if !m.Counted {
 			continue
 		}
 		counted++
+		if m.Vacant {
+			continue
+		}
 		if m.Joining {
 			joining++
 		}
@@ -125,6 +153,9 @@
 		if !heard || m.State == Silent || e.Epoch.Less(old.Epoch) {
 			acknowledged = false
 		}
+		if k.Now.Sub(e.Since) < r.Settle {
+			settled = false
+		}
 	}
 	if counted-joining == 0 {
 		// All members that were counted are known to be gone, so no other
@@ -135,7 +166,7 @@
 		}
 		return next
 	}
-	if !acknowledged {
+	if !acknowledged || joining > 0 && !settled {
 		return next
 	}
 	for _, m := range next.Members {
--- a/member/follower.go
+++ b/member/follower.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		held := 0
-		if f.Follows(m, now) {
+		if !m.Vacant && f.Follows(m, now) {
 			held = 1
 		}
 		all.Counted++
--- a/member/table.go
+++ b/member/table.go
@@ -31,6 +31,9 @@
 	// Joining tells that a counted member isn't known to all others yet: the
 	// share is the smaller one of those with and without the joining members.
 	Joining bool
+	// Vacant tells that a counted member is known to be gone, while another
+	// coordinator may still use the lease that it promised.
+	Vacant bool
 }
 
 // Epoch orders the tables of a domain. Minor counts changes made while the
