--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -49,8 +49,9 @@
 	DecodeConfiguration func([]byte) (config.Document, error)
 	Marks               func() []quarantine.Mark // may be nil
 	MergeMarks          func([]quarantine.Mark)  // may be nil
-	Record              timeline.Recorder        // may be nil
-	Logger              zerolog.Logger
+	// Record may be nil. It is called with a lock held and must not call the node.
+	Record timeline.Recorder
+	Logger zerolog.Logger
 
 	prepare sync.Once
 	// These are read for each request and therefore without the lock.
