--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// Guards against a domain whose last daemon leaves for ever a count that nobody
+// else can fill.
+func TestLastDaemonLeaves(t *testing.T) {
+	simulate(t, func(c *qt.C, fl *fleet) {
+		fl.startAll("a", 1)
+		fl.leave("a1")
+		fl.start("a2")
+		fl.until(12*time.Second, "full share of the next daemon", fl.shares("a", 1, 1))
+	})
+}
+
 func (fl *fleet) follower(domain string) string {
 	for name, n := range fl.nodes {
 		if n.Self.Domain == domain && !n.leads() {
