--- a/coordinator/partition_test.go
+++ b/coordinator/partition_test.go
@@ -49,7 +49,8 @@
 				fl.until(15*time.Second, "a coordinator on each side", func() bool {
 					return len(fl.leaders("b")) == 2 && fl.share(large[0]) == 2 && fl.share(small[0]) == 2
 				})
-				fl.run(10 * time.Second)
+				// Longer than coordinators remember each other.
+				fl.run(dropContact + 5*time.Second)
 				fl.split(large, small, false)
 				fl.until(15*time.Second, "one coordinator with all leases", func() bool {
 					return len(fl.leaders("b")) == 1 && fl.share(large[0]) == 4 && fl.share(small[0]) == 4
@@ -83,7 +84,7 @@
 				version := uint64(0)
 				for range 25 {
 					x, y := names[r.IntN(len(names))], names[r.IntN(len(names))]
-					switch r.IntN(8) {
+					switch r.IntN(12) {
 					case 0:
 						fl.store.outage(true)
 					case 1:
@@ -103,11 +104,25 @@
 					case 7:
 						version++
 						fl.accept(version)
+					case 8:
+						fl.store.loseResponses(1 + r.IntN(3))
+					case 9:
+						fl.store.block(x, r.IntN(2) == 0)
+					case 10:
+						fl.links.set("a", "b", r.IntN(2) == 0)
+					case 11:
+						fl.leave(x)
+						fl.run(time.Duration(r.IntN(4000)) * time.Millisecond)
+						fl.start(x)
 					}
 					fl.run(time.Duration(r.IntN(3000)) * time.Millisecond)
 				}
 				fl.store.outage(false)
+				fl.links.heal("a", "b")
 				fl.split(names, names, false)
+				for _, name := range names {
+					fl.store.block(name, false)
+				}
 				fl.until(40*time.Second, "recovered", func() bool { return fl.settled(3) && fl.allHave(version)() })
 			})
 		})
