--- a/daemon/overhead_test.go
+++ b/daemon/overhead_test.go
@@ -18,13 +18,12 @@
 	"rattanline.example/rattanline/standin"
 )
 
-// startSingle starts one daemon before one plain service that answers at once.
-func startSingle(c *qt.C) *fleet.Fleet {
+// startSingle starts one daemon before one target, for one account.
+func startSingle(c *qt.C, service string, engines []standin.EngineOptions, services []standin.ServiceOptions) *fleet.Fleet {
 	f := &fleet.Fleet{
-		Domains: []string{"kurume"}, Daemons: 1,
-		Services: []standin.ServiceOptions{{TargetOptions: standin.TargetOptions{Capacity: 64, ColdLimit: 64}}},
+		Domains: []string{"kurume"}, Daemons: 1, Engines: engines, Services: services,
 		Accounts: []config.Account{{
-			Name: "shop", Share: 1, Services: []string{fleet.StockDesk}, KeyDigests: []string{fleet.KeyDigest("shop")},
+			Name: "shop", Share: 1, Services: []string{service}, KeyDigests: []string{fleet.KeyDigest("shop")},
 		}},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
@@ -35,6 +34,9 @@
 	return f
 }
 
+// wide bears as many requests as the benchmarks send, from its start.
+var wide = standin.TargetOptions{Capacity: 64, ColdLimit: 64}
+
 func get(client *http.Client, url string) (time.Duration, error) {
 	r, err := http.NewRequest(http.MethodGet, url, nil)
 	if err != nil {
@@ -60,7 +62,7 @@
 // the target directly, one at a time and many at once.
 func BenchmarkOverhead(b *testing.B) {
 	c := qt.New(b)
-	f := startSingle(c)
+	f := startSingle(c, fleet.StockDesk, nil, []standin.ServiceOptions{{TargetOptions: wide}})
 	var direct string
 	for _, t := range f.Member[0].Targets() {
 		direct = t.URL + "/stock"
--- a/daemon/stream_test.go
+++ b/daemon/stream_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -13,31 +12,12 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/fleet"
 	"rattanline.example/rattanline/standin"
 )
 
 const streamTokens = 2000
 
-// startStreaming starts one daemon before one engine that generates tokens as
-// fast as they are taken.
-func startStreaming(c *qt.C) *fleet.Fleet {
-	f := &fleet.Fleet{
-		Domains: []string{"kurume"}, Daemons: 1,
-		Engines: []standin.EngineOptions{{TargetOptions: standin.TargetOptions{Capacity: 64, ColdLimit: 64}}},
-		Accounts: []config.Account{{
-			Name: "shop", Share: 1, Services: []string{fleet.Assistant}, KeyDigests: []string{fleet.KeyDigest("shop")},
-		}},
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
-	c.Cleanup(f.Close)
-	c.Assert(f.Start(ctx), qt.IsNil)
-	c.Assert(f.AwaitReady(ctx), qt.IsNil)
-	return f
-}
-
 // stream reads one streamed response and returns the number of its events.
 func stream(url string) (events int, err error) {
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"draft"}]}`,
@@ -74,7 +54,8 @@
 // from the engine directly. Both include engine and caller.
 func BenchmarkStream(b *testing.B) {
 	c := qt.New(b)
-	f := startStreaming(c)
+	// The engine generates tokens as fast as they are taken.
+	f := startSingle(c, fleet.Assistant, []standin.EngineOptions{{TargetOptions: wide}}, nil)
 	urls := map[string]string{"routed": f.Member[0].EntryURL(), "direct": f.Member[0].Targets()[0].URL}
 	_, err := stream(urls["routed"]) // waits for the first slot
 	c.Assert(err, qt.IsNil)
