Share the slots of one account between its daemons

Cause: counters are of accounts. Where the same accounts wait at all daemons, all of them are equally entitled, and the first daemon kept all slots: in the measurement with even placement one or two of nine daemons served everything and requests at the others never ran.

Change: an owner gives a free slot to the holder with the fewest slots of the target among those at which the lowest account waits. Four times a second it recalls one slot of the holder with the most when another one waits for the same account with at least two fewer.

Ruled out: a limit on the time that a holder keeps a slot, which moves slots also where only one daemon is entitled to them.

Result: TestDaemonsOfOneAccount passes, and ran into its timeout with the balancing disabled.

--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -145,6 +145,31 @@
 	})
 }
 
+// TestDaemonsOfOneAccount guards against one daemon that keeps all slots while
+// requests of the same account wait at the others.
+func TestDaemonsOfOneAccount(t *testing.T) {
+	run(t, 9, document(3, 6, 6, "a", "b"), func(f *fleet) {
+		for _, n := range f.Nodes() {
+			for _, account := range []string{"a", "b"} {
+				f.load(n.Member.Name, account, 10)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range f.Nodes() {
+			begin := time.Now()
+			client := f.client(n.Member.Name, "a")
+			client.Urgent = true
+			ctx, cancel := context.WithTimeout(f.ctx, 5*time.Second)
+			err := client.Do(ctx, 0.1)
+			cancel()
+			f.c.Assert(err, qt.IsNil)
+			took := time.Since(begin)
+			f.c.Assert(took < 2*time.Second, qt.IsTrue, qt.Commentf("%s took %s", n.Member.Name, took))
+		}
+	})
+}
+
 // TestIncorrectHints guards against an account that gains from hints that are
 // far too low.
 func TestIncorrectHints(t *testing.T) {
--- a/measure/client.go
+++ b/measure/client.go
@@ -15,6 +15,7 @@
 	Daemon  string
 	Account string
 	Service string
+	Urgent  bool
 	// Unit is the time that a target takes for a cost of one.
 	Unit time.Duration
 	// Cost returns the cost of the next request, Hint what the caller says of
@@ -66,7 +67,7 @@
 		hint = c.Hint(cost)
 	}
 	arrived := time.Now()
-	a, err := n.Dispatcher.Acquire(ctx, port.Job{Account: c.Account, Service: c.Service, Cost: hint})
+	a, err := n.Dispatcher.Acquire(ctx, port.Job{Account: c.Account, Service: c.Service, Urgent: c.Urgent, Cost: hint})
 	if err != nil {
 		return err
 	}
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -28,6 +29,9 @@
 				break
 			}
 		}
+		if !t.closed {
+			o.balance(now, t)
+		}
 		if !t.closed && o.wanted(t.target.Service) && !unmet[t.target.Service] {
 			unmet[t.target.Service] = true
 			o.recallUnneeded(t.target.Service)
@@ -67,7 +71,7 @@
 // counter, and charges the account at once: otherwise all owners would pick the
 // same one until the next exchange.
 func (o *Owner) grant(now time.Time, t *owned) bool {
-	h, account, ok := o.neediest(t.target.Service)
+	h, account, ok := o.neediest(t)
 	if !ok {
 		return false
 	}
@@ -89,26 +93,72 @@
 	return true
 }
 
-func (o *Owner) neediest(service string) (*holder, string, bool) {
-	var best *holder
-	var chosen string
+// neediest returns the account with the lowest counter and the holder that gets
+// the next slot of the target for it: the one with the fewest, so that requests
+// of one account at several daemons are all served.
+func (o *Owner) neediest(t *owned) (*holder, string, bool) {
+	service, account, found := t.target.Service, "", false
 	lowest := 0.0
-	counters := map[string]float64{}
-	for _, daemon := range slices.Sorted(maps.Keys(o.holders)) {
-		h := o.holders[daemon]
-		for _, account := range slices.Sorted(maps.Keys(h.demands[service])) {
-			counter, ok := counters[account]
-			if !ok {
-				q := usage.Queue{Service: service, Account: account}
-				counter = o.Counter(service, account) + o.charges.sum(q)
-				counters[account] = counter
-			}
-			if best == nil || counter < lowest {
-				best, chosen, lowest = h, account, counter
-			}
+	accounts := map[string]bool{}
+	for _, h := range o.holders {
+		for name := range h.demands[service] {
+			accounts[name] = true
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(accounts)) {
+		q := usage.Queue{Service: service, Account: name}
+		counter := o.Counter(service, name) + o.charges.sum(q)
+		if !found || counter < lowest {
+			account, lowest, found = name, counter, true
+		}
+	}
+	if !found {
+		return nil, "", false
+	}
+	return o.waitingFor(t, account)[0], account, true
+}
+
+// waitingFor returns the holders at which the account waits, those with the
+// fewest slots of the target first. Ties are ordered differently for each
+// target, so that no holder is the last at all of them.
+func (o *Owner) waitingFor(t *owned, account string) []*holder {
+	var holders []*holder
+	for _, h := range o.holders {
+		if h.demands[t.target.Service][account] > 0 {
+			holders = append(holders, h)
 		}
 	}
-	return best, chosen, best != nil
+	slices.SortFunc(holders, func(x, y *holder) int {
+		return cmp.Or(
+			cmp.Compare(t.heldBy(x.source), t.heldBy(y.source)),
+			cmp.Compare(t.weight(x.source), t.weight(y.source)),
+			cmp.Compare(x.source.Daemon, y.source.Daemon),
+		)
+	})
+	return holders
+}
+
+// balanceInterval bounds the moves of slots between daemons of one account.
+const balanceInterval = 250 * time.Millisecond
+
+// balance recalls a slot of the holder with the most when another one waits for
+// the same account with at least two fewer. Counters are of accounts, so without
+// this one daemon keeps all slots while requests of the same accounts at other
+// daemons never run.
+func (o *Owner) balance(now time.Time, t *owned) {
+	if now.Sub(t.balanced) < balanceInterval {
+		return
+	}
+	_, account, ok := o.neediest(t)
+	if !ok {
+		return
+	}
+	t.balanced = now
+	holders := o.waitingFor(t, account)
+	poorest, richest := holders[0].source, holders[len(holders)-1].source
+	if t.heldBy(richest)-t.heldBy(poorest) >= 2 {
+		o.recall(recall(t.kept(func(g *granted) bool { return g.holder == richest }), 1))
+	}
 }
 
 func (o *Owner) wanted(service string) bool {
--- a/slot/owned.go
+++ b/slot/owned.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/limit"
 	"rattanline.example/rattanline/member"
@@ -34,8 +36,9 @@
 	reports []unknown
 	// suspect is set by a crash until a load report shows which incarnation
 	// runs, since a restarted target is cold.
-	suspect bool
-	restart bool // a crash was reported since slots were last decided
+	suspect  bool
+	balanced time.Time // when slots were last balanced between holders
+	restart  bool      // a crash was reported since slots were last decided
 	// incarnation is the target's when slots were last decided.
 	incarnation string
 }
@@ -157,6 +160,22 @@
 	}
 }
 
+// heldBy returns how many slots the holder has that are not recalled.
+func (t *owned) heldBy(holder usage.Source) int {
+	count := 0
+	for _, g := range t.slots {
+		if g.holder == holder && !g.recalled {
+			count++
+		}
+	}
+	return count
+}
+
+// weight orders holders with equal claims.
+func (t *owned) weight(holder usage.Source) uint64 {
+	return xxhash.Sum64String(t.target.Name + "\x00" + holder.Daemon)
+}
+
 // excess marks and returns the slots to recall until no more than the allowed
 // number remain: idle ones first, then the newest.
 func (t *owned) excess(allowed int) []*granted {
