Report the configuration version at each daemon

The coordinator reports its own version and the daemons whose heartbeat named another one, a second after a change, so that a change costs one report. Node.Versions returns them for all domains.

--- a/coordinator/feed.go
+++ b/coordinator/feed.go
@@ -10,10 +10,11 @@
 
 // The items of a feed; tables and contacts are named by domain and coordinator.
 const (
-	tableItem   = "table/"
-	contactItem = "contact/"
-	hostsItem   = "hosts"
-	marksItem   = "marks"
+	tableItem    = "table/"
+	contactItem  = "contact/"
+	versionsItem = "versions/"
+	hostsItem    = "hosts"
+	marksItem    = "marks"
 )
 
 // feed numbers the changes of what this daemon spreads, so that a receiver gets
@@ -64,6 +65,7 @@
 			}
 			continue
 		}
+		f.Versions = append(f.Versions, n.versionsOf(item, ownOnly)...)
 		switch item {
 		case hostsItem:
 			f.Hosts = n.hosts.report(ownOnly)
@@ -96,6 +98,11 @@
 	if f.Hosts != nil && n.hosts.merge(*f.Hosts) {
 		n.hostsChanged()
 	}
+	for _, r := range f.Versions {
+		if n.role == nil || r.Domain != n.Self.Domain {
+			n.takeVersions(r)
+		}
+	}
 	if f.Configuration != nil {
 		n.adoptConfiguration(*f.Configuration)
 	}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -64,6 +64,7 @@
 	Version       uint64
 	Tables        []member.Table
 	Contacts      []Contact
+	Versions      []VersionReport
 	Hosts         *HostReport
 	Marks         []quarantine.Mark
 	Configuration *config.Document
--- a/coordinator/node.go
+++ b/coordinator/node.go
@@ -66,6 +66,8 @@
 	contacts contacts
 	hosts    hosts
 	marks    []quarantine.Mark
+	versions map[string]VersionReport // by failure domain
+	docSince time.Time                // when the configuration came into force
 	follow   following
 	role     *role // nil unless this daemon is the coordinator
 	started  time.Time
@@ -116,6 +118,7 @@
 		n.leavers.Store(&HostReport{})
 		n.Self.State = member.Live
 		n.contacts = contacts{}
+		n.versions = map[string]VersionReport{}
 		n.feed = feed{changed: map[string]uint64{}}
 		n.follow = newFollowing(n.started)
 		n.hosts = hosts{missing: map[string]time.Time{}}
--- a/coordinator/partition_test.go
+++ b/coordinator/partition_test.go
@@ -179,6 +179,7 @@
 		fl.run(2 * time.Second)
 		c.Check(fl.isolated("b"), qt.Equals, 3)
 		c.Check(fl.isolated("a"), qt.Equals, 0)
+		c.Check(fl.nodes["a3"].Versions()["b1"], qt.Equals, uint64(1))
 		fl.run(20 * time.Second)
 		c.Check(fl.nodes["b1"].Configuration().Version, qt.Equals, uint64(1))
 		c.Check(fl.nodes["a1"].Configuration().Version, qt.Equals, uint64(2))
@@ -189,6 +190,23 @@
 			fl.store.block(fmt.Sprint("b", i), false)
 		}
 		fl.until(30*time.Second, "settled", func() bool { return fl.settled(3) })
+		name := fl.follower("a")
+		fl.links.cut(name, "*")
+		fl.accept(3)
+		fl.run(4 * time.Second)
+		c.Check(fl.nodes["b1"].Versions()[name], qt.Equals, uint64(2))
+		c.Check(fl.nodes["b1"].Versions()["c1"], qt.Equals, uint64(3))
+		fl.links.heal(name, "*")
+		fl.until(5*time.Second, "versions of all daemons known at all", func() bool {
+			for _, n := range fl.nodes {
+				for name := range fl.nodes {
+					if n.Versions()[name] != 3 {
+						return false
+					}
+				}
+			}
+			return true
+		})
 	})
 }
 
--- a/coordinator/receiver.go
+++ b/coordinator/receiver.go
@@ -92,7 +92,7 @@
 		e.Since = now
 	}
 	e.Heard, e.Leaving, e.Gone, e.Epoch = now, args.Leaving, args.Gone, args.Epoch
-	ro.evidence[args.Name] = e
+	ro.evidence[args.Name], ro.versions[args.Name] = e, args.Version
 	if args.Table != nil {
 		n.adoptTable(*args.Table)
 	}
--- a/coordinator/role.go
+++ b/coordinator/role.go
@@ -18,6 +18,7 @@
 	began      time.Time
 	evidence   map[string]member.Evidence
 	former     map[string]string // the last replaced incarnation by name
+	versions   map[string]uint64 // of the configuration at each daemon
 	followers  *member.Followers
 	aggregate  *usage.Aggregate
 	source     usage.Source
@@ -49,6 +50,7 @@
 		began:     now,
 		evidence:  map[string]member.Evidence{},
 		former:    map[string]string{},
+		versions:  map[string]uint64{},
 		followers: member.NewFollowers(n.FollowerLease - n.OwnerLease),
 		aggregate: usage.NewAggregate(source),
 		source:    source,
@@ -86,6 +88,7 @@
 		if n.role != nil {
 			n.decideUnconfirmed(now)
 			n.restore(now)
+			n.reportVersions(now)
 		}
 		n.mu.Unlock()
 		n.exchange(ctx)
--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -102,5 +102,6 @@
 		return
 	}
 	n.doc.Store(&d)
+	n.docSince = time.Now()
 	n.record("configuration-in-force", fmt.Sprint(d.Version))
 }
