Keep the leaving hosts current after the coordinator's role ends

A former coordinator compared reports of the host list with the last one told and not with its own last reading, so it could keep a host as leaving that no longer was. It now compares with what is in use. Found by reading; the existing host list test passes (2 runs with -race), no test shows the fault.

--- a/coordinator/feed.go
+++ b/coordinator/feed.go
@@ -95,8 +95,8 @@
 	for _, c := range f.Contacts {
 		n.learn(c, false)
 	}
-	if f.Hosts != nil && n.hosts.merge(*f.Hosts) {
-		n.hostsChanged()
+	if f.Hosts != nil {
+		n.takeHosts(*f.Hosts)
 	}
 	for _, r := range f.Versions {
 		if n.role == nil || r.Domain != n.Self.Domain {
--- a/coordinator/hosts.go
+++ b/coordinator/hosts.go
@@ -64,11 +64,12 @@
 	return leaving
 }
 
-// merge takes over a report and tells whether it is a change.
-func (h *hosts) merge(r HostReport) bool {
-	changed := h.told == nil || !slices.Equal(h.told.Leaving, r.Leaving)
-	h.told = &r
-	return changed && h.own == nil
+// takeHosts takes over another daemon's report. The caller holds the lock.
+func (n *Node) takeHosts(r HostReport) {
+	n.hosts.told = &r
+	if n.hosts.own == nil && !slices.Equal(n.leavers.Load().Leaving, r.Leaving) {
+		n.hostsChanged()
+	}
 }
 
 // read takes over an own reading and tells whether the leaving hosts changed.
