--- a/coordinator/watch.go
+++ b/coordinator/watch.go
@@ -103,5 +103,6 @@
 	}
 	n.history.add(*n.doc.Load())
 	n.doc.Store(&d)
+	n.docSince = time.Now()
 	n.record("configuration-in-force", fmt.Sprint(d.Version))
 }
