Bound the effect of cost hints on an account's counter

The estimate of a request is hint * actual / hinted, unbounded. With the hint 1.7e308 it was infinite; the ledger ignores infinite charges, so neither the estimate nor the correction at the end counted and the request was free. A large finite estimate erased the account's counter by rounding when it was corrected, and an account that hinted little and then much lifted the offsets of accounts that started to wait, for good.

Ruled out: the running ratio corrects this. It is multiplied before the division and comes only after the first request.

Estimates are now at most the largest cost seen of the service, and hints at most ten times the largest cost that the request can have.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -14,10 +14,12 @@
 type mean struct {
 	count        int
 	hint, actual float64
+	largest      float64 // actual cost
 }
 
 func (m *mean) add(hint, actual float64) {
 	m.count++
+	m.largest = max(m.largest, actual)
 	// The first values are averaged, so the mean doesn't start from zero.
 	weight := max(costWeight, 1/float64(m.count))
 	m.hint += (hint - m.hint) * weight
@@ -47,8 +49,18 @@
 
 // estimate corrects a hint by the ratio of the sums, which a few tiny hints
 // can't distort as they would the mean of the ratios. Without a hint it is the
-// mean actual cost.
+// mean actual cost. It is at most the largest cost seen: accounts that start to
+// wait are lifted to counters that contain estimates, so an account that hints
+// very little and then much could raise others for good.
 func (c costs) estimate(q usage.Queue, hint float64) float64 {
+	estimate := c.corrected(q, hint)
+	if s := c.services[q.Service]; s != nil {
+		estimate = min(estimate, s.largest)
+	}
+	return estimate
+}
+
+func (c costs) corrected(q usage.Queue, hint float64) float64 {
 	m := c.queues[q]
 	switch {
 	case m == nil && hint > 0:
--- a/request/cost.go
+++ b/request/cost.go
@@ -22,6 +22,7 @@
 	bytesPerToken     = 4   // usual for English text with byte pair encodings
 	assumedOutput     = 256 // tokens of a response without max_tokens
 	maxEstimateOutput = 1 << 17
+	hintTolerance     = 10 // hints are rough
 )
 
 // EstimateTokens returns the expected tokens of a model request. MaxTokens is
@@ -35,10 +36,13 @@
 }
 
 // Estimate returns the cost that a request is queued and charged with before
-// its work is known. A hint is ignored unless it is a positive finite number.
+// its work is known. A hint is ignored unless it is a positive finite number, and
+// counts at most as a multiple of the largest cost that the request can have: a
+// counter that was raised far beyond that and lowered again would lose its former
+// value to rounding.
 func Estimate(p config.Price, t Tokens, hint float64) float64 {
 	if hint > 0 && !math.IsInf(hint, 0) {
-		return hint
+		return min(hint, hintTolerance*Cost(p, Tokens{Input: t.Input * bytesPerToken, Output: maxEstimateOutput}))
 	}
 	return Cost(p, t)
 }
