Apply a changed target configuration to the owner's limit

An owner created the limit of a target once, with the bounds of that time. A lowered maximum or cold limit came into force only when ownership moved, and a server behind a changed address got the full limit of the former one at once.

Ruled out: the index of the dispatcher is rebuilt for each version, but Owner.Own passed only the target on; limit.Controller.Configure had no caller.

TestChangedTarget before: 4 slots granted after the change, after: 2.

--- a/slot/limit.go
+++ b/slot/limit.go
@@ -17,6 +17,11 @@
 	Incarnation() string
 }
 
+// configurable is a Limit whose bounds follow the configuration.
+type configurable interface {
+	Configure(cold, max int)
+}
+
 // Times are the durations that owner and holder must agree on.
 type Times struct {
 	// SlotLease is how long a holder may start requests on a slot after it sent
--- a/slot/owned.go
+++ b/slot/owned.go
@@ -50,6 +50,19 @@
 	return &owned{target: t, limit: l, slots: map[Slot]*granted{}, adopting: adopting}
 }
 
+// configure takes over a changed configuration of the target. Behind another
+// address runs another server, which is treated like a restarted one.
+func (t *owned) configure(target config.Target) {
+	old := t.target
+	t.target = target
+	if l, ok := t.limit.(configurable); ok && (old.ColdLimit != target.ColdLimit || old.MaxLimit != target.MaxLimit) {
+		l.Configure(target.ColdLimit, target.MaxLimit)
+	}
+	if old.URL != target.URL {
+		t.suspect, t.restart = true, true
+	}
+}
+
 // allowed returns how many slots may exist under the share of the limit.
 func (t *owned) allowed(now time.Time, share member.Share) int {
 	if t.closed {
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -76,7 +76,7 @@
 		if o.targets[t.Name] == nil {
 			o.targets[t.Name] = newOwned(t, o.NewLimit(t), now.Add(o.Times.OwnerLease+o.Times.SlotLease))
 		}
-		o.targets[t.Name].target = t
+		o.targets[t.Name].configure(t)
 		o.targets[t.Name].closed = closed(t)
 	}
 	for name := range o.targets {
--- a/slot/owner_test.go
+++ b/slot/owner_test.go
@@ -233,3 +233,38 @@
 	b.pass(0)
 	b.c.Assert(b.renew(b.renewal(second, nil, "b")).Granted, qt.HasLen, 0)
 }
+
+// TestChangedTarget guards against an owner that keeps the limits that a target
+// had when it became owned, and against a full load on another server that
+// takes the target's name.
+func TestChangedTarget(t *testing.T) {
+	for _, change := range []func(*config.Target){
+		func(t *config.Target) { t.MaxLimit = 2 },
+		func(t *config.Target) { t.URL = "http://other" },
+	} {
+		b := newBench(t, 0, even)
+		changed := only
+		changed.Name, changed.ColdLimit, changed.MaxLimit = "warm", 2, 4
+		b.o.NewLimit = func(t config.Target) slot.Limit {
+			l := limit.New(t.ColdLimit, t.MaxLimit)
+			l.Adopt("1", t.MaxLimit, false)
+			return l
+		}
+		own := func(d time.Duration) {
+			b.now = b.now.Add(d)
+			b.o.Authorize(b.now, member.Share{}, true)
+			b.o.Own(b.now, []config.Target{changed}, noneOf)
+			b.o.Decide(b.now)
+		}
+		for range 3 {
+			own(3 * time.Second)
+		}
+		held := b.renew(b.renewal(first, nil, "a", "a", "a", "a")).Granted
+		b.c.Assert(held, qt.HasLen, 4)
+		change(&changed)
+		own(0)
+		r := b.renewal(first, nil, "a", "a", "a", "a")
+		r.Returned = held
+		b.c.Assert(b.renew(r).Granted, qt.HasLen, 2)
+	}
+}
