Charge completions that are given up before they end

A response that isn't a stream shows its tokens only when it is complete. One that was canceled or timed out was charged the request price alone, which is often zero for models, and its estimate was refunded. An account whose callers give up just before the end kept the lowest counter and took all slots.

Ruled out: the estimate stays charged. Finish replaces it by the observed cost, and the running ratio learns from successes only.

The cost is now derived from the time at 20 ms a token, at most max_tokens.

--- a/frontend/call.go
+++ b/frontend/call.go
@@ -168,7 +168,7 @@
 	}
 	exchange, result := c.handler.Upstream.Send(ctx, upstream.Attempt{
 		Identity: request.Identity{Request: c.id, Attempt: c.attempts}, Target: c.target, Service: c.service,
-		Method: c.method, Path: c.path, Query: c.query, Header: c.header, Body: c.body, Once: !c.idempotent,
+		Method: c.method, Path: c.path, Query: c.query, Header: c.header, Body: c.body, MaxTokens: c.chat.MaxTokens, Once: !c.idempotent,
 	})
 	if exchange == nil {
 		if result.Written {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -103,6 +103,8 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// MaxTokens bounds the output that the request asks for; zero means no bound.
+	MaxTokens int
 	// Once tells that the request must not reach a target twice.
 	Once bool
 }
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -165,6 +165,37 @@
 	}
 }
 
+// Guards against completions that cost nothing because their caller gives them
+// up before they end.
+func TestGivenUpCompletionIsCharged(t *testing.T) {
+	for name, head := range map[string]bool{"before the head": false, "before the end": true} {
+		for _, most := range []int{0, 3} {
+			tg := target(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				if head {
+					w.WriteHeader(http.StatusOK)
+					_ = http.NewResponseController(w).Flush()
+				}
+				<-r.Context().Done()
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(200*time.Millisecond, cancel)
+			a := attempt(tg, model)
+			a.MaxTokens = most
+			e, result := (&Client{}).Send(ctx, a)
+			if e != nil {
+				result = e.Forward(io.Discard, nil)
+			}
+			assertResult(t, result, port.Canceled, true, false)
+			enough := result.Cost >= 9
+			if most > 0 {
+				enough = result.Cost == float64(most)
+			}
+			qt.Check(t, enough, qt.IsTrue, qt.Commentf("%s: cost %g", name, result.Cost))
+		}
+	}
+}
+
 func TestLoad(t *testing.T) {
 	tg := target(t, func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, `{"running":3,"queued":1,"incarnation":"run-1","age-ms":120}`)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -199,9 +199,23 @@
 	return charged(result, e.attempt)
 }
 
-// charged sets the cost of the work that the target is seen to have done.
+// assumedToken is the time that an engine is taken to need for a token where its
+// work can't be seen. Engines take about 10 to 72 ms.
+const assumedToken = 20 * time.Millisecond
+
+// charged sets the cost of the work that the target is seen to have done. An
+// incomplete response that isn't a stream shows none, so that it is derived from
+// the time: an account that gives up its completions just before they end would
+// use the target for nothing.
 func charged(r Result, a Attempt) Result {
 	if r.Written && r.Result != port.Overloaded {
+		if a.Service.Kind == config.Model && !r.Complete && r.Tokens == (request.Tokens{}) {
+			r.Tokens = request.EstimateTokens(len(a.Body), 0)
+			r.Tokens.Output = int(r.Total / assumedToken)
+			if a.MaxTokens > 0 {
+				r.Tokens.Output = min(r.Tokens.Output, a.MaxTokens)
+			}
+		}
 		r.Cost = request.Cost(a.Service.Price, r.Tokens)
 	}
 	return r
