Bound the bodies of claimed requests that wait

Before the claim, and while a resend waits for the earlier request, a body was kept outside the bounds of the queue. Claims were bounded in number only (256 of 4 MiB) and resends not at all, so one account could fill the memory of a daemon.

Ruled out: the bound of bodies being received ends with the reading, and the queue's bound begins after the claim.

Their bytes now count against the account's queue bytes until the request is sent or ends. TestBodiesOfResendsAreBounded before: the second body was kept; after: 429 not-run.

--- a/frontend/call.go
+++ b/frontend/call.go
@@ -45,8 +45,9 @@
 	// held is the error response of the last attempt, written if the retry
 	// finds no target.
 	held    *response
-	granted bool // the key's claim
-	unsent  bool // counted by running
+	granted bool  // the key's claim
+	unsent  bool  // counted by running
+	kept    int64 // bytes of the body counted by running
 	timeout bool
 	caller  context.Context
 }
--- a/frontend/claimed.go
+++ b/frontend/claimed.go
@@ -25,7 +25,11 @@
 	if limit == 0 {
 		limit = maxUnsent
 	}
-	if !c.handler.running.addUnsent(c, limit) {
+	bytes := c.account.MaxQueuedBytes
+	if bytes == 0 {
+		bytes = maxReading
+	}
+	if !c.handler.running.addUnsent(c, limit, bytes) {
 		c.refuse(&request.Refusal{Reason: request.QueueFull, Detail: "too many claimed requests wait", RetryAfter: time.Second})
 		return time.Time{}, false
 	}
@@ -54,7 +58,7 @@
 			c.refuse(&request.Refusal{Reason: request.ClaimsFull, Detail: "no room for idempotency keys", RetryAfter: 10 * time.Second})
 			return time.Time{}, false
 		case claim.Duplicate:
-			c.handler.running.sent(c) // it waits for another request, not for a slot
+			c.handler.running.resent(c) // it waits for another request, not for a slot
 			if c.replay(ctx, d) {
 				return time.Time{}, false
 			}
--- a/frontend/handler_test.go
+++ b/frontend/handler_test.go
@@ -263,6 +263,47 @@
 	assertReply(t, call("POST", "/services/stock/x", "", KeyHeader+": third"), 200, request.OutcomeRan)
 }
 
+// resends finds an earlier request for each claim, which runs until hold ends.
+type resends struct {
+	grantAll
+	entered, hold chan struct{}
+}
+
+func (resends) Claim(context.Context, claim.Request) (claim.Decision, error) {
+	return claim.Duplicate{}, nil
+}
+
+func (r resends) Await(context.Context, claim.Request, claim.Duplicate) (claim.Earlier, error) {
+	r.entered <- struct{}{}
+	<-r.hold
+	return claim.Lost{Cause: "gone"}, nil
+}
+
+// Guards against memory that grows with the resends of a request that runs:
+// each keeps its body, while the bounds of the queue apply to none of them.
+func TestBodiesOfResendsAreBounded(t *testing.T) {
+	r := newRig(t, answer(200, "ran"))
+	waiting := resends{entered: make(chan struct{}, 2), hold: make(chan struct{})}
+	r.Claims = waiting
+	call := r.serve(t)
+	body := strings.Repeat("x", 600)
+	done := make(chan reply)
+	go func() { done <- call("POST", "/services/stock/x", body, KeyHeader+": first") }()
+	<-waiting.entered
+	ended := make(chan reply)
+	go func() { ended <- call("POST", "/services/stock/x", body, KeyHeader+": first") }()
+	select {
+	case refused := <-ended:
+		assertReply(t, refused, 429, request.OutcomeNotRun)
+	case <-waiting.entered:
+		t.Error("the second body is kept beyond the bound of the account")
+	}
+	close(waiting.hold)
+	assertReply(t, <-done, 502, request.OutcomeUnknown)
+	r.Claims = grantAll{}
+	assertReply(t, call("POST", "/services/stock/x", body, KeyHeader+": second"), 200, request.OutcomeRan)
+}
+
 // Guards against a stop that interrupts requests or takes new ones.
 func TestDrain(t *testing.T) {
 	release := make(chan struct{})
--- a/frontend/running.go
+++ b/frontend/running.go
@@ -25,6 +25,9 @@
 	targets map[string]*targetRun
 	// unsent counts claimed requests that wait, by account.
 	unsent map[string]int
+	// bodies counts the bytes of the bodies of claimed requests that were not
+	// sent, by account.
+	bodies map[string]int64
 	// reading counts the bytes of bodies that are being received, by account.
 	reading map[string]int64
 }
@@ -42,7 +45,7 @@
 	defer r.mu.Unlock()
 	if r.calls == nil {
 		r.calls, r.targets = map[*call]InFlight{}, map[string]*targetRun{}
-		r.unsent, r.reading = map[string]int{}, map[string]int64{}
+		r.unsent, r.bodies, r.reading = map[string]int{}, map[string]int64{}, map[string]int64{}
 	}
 	r.calls[c] = InFlight{RequestID: c.id, Since: c.arrived}
 }
@@ -51,6 +54,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropUnsent(c)
+	r.dropBody(c)
 	delete(r.calls, c)
 }
 
@@ -118,13 +122,19 @@
 }
 
 // addUnsent bounds the claimed requests of an account that wait, so that an
-// account that floods fills neither the claim log nor the platform's writes.
-func (r *running) addUnsent(c *call, limit int) bool {
+// account that floods fills neither the claim log nor the platform's writes, nor
+// the memory with bodies: the bounds of the queue apply only after the claim.
+func (r *running) addUnsent(c *call, limit int, bytes int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unsent[c.account.Name] >= limit {
+	held, n := r.bodies[c.account.Name], int64(len(c.body))
+	if r.unsent[c.account.Name] >= limit || held > 0 && held+n > bytes {
 		return false
 	}
+	if n > 0 {
+		r.bodies[c.account.Name] += n
+		c.kept = n
+	}
 	r.unsent[c.account.Name]++
 	c.unsent = true
 	return true
@@ -135,6 +145,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropUnsent(c)
+	r.dropBody(c)
+}
+
+// resent notes that a claimed request waits for an earlier one. Its body stays
+// counted, since it is kept for the case that the earlier one was not sent.
+func (r *running) resent(c *call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropUnsent(c)
+}
+
+func (r *running) dropBody(c *call) {
+	if r.bodies[c.account.Name] -= c.kept; r.bodies[c.account.Name] <= 0 {
+		delete(r.bodies, c.account.Name)
+	}
+	c.kept = 0
 }
 
 func (r *running) dropUnsent(c *call) {
