Lift accounts that start to wait where nobody waits

An account that became backlogged was lifted only to accounts that waited at that moment.

Ruled out: the lift of the other accounts when they come back. They have the higher counter, and offsets only rise.

The lowest counter at which an account last waited for a service is now kept as the offset of a queue without an account, so it spreads and merges like all offsets, and applies where nobody waits.

--- a/dispatch/fault_test.go
+++ b/dispatch/fault_test.go
@@ -145,6 +145,28 @@
 	})
 }
 
+// TestServiceBeforeFlood guards against credit for idle time where nobody waits: an
+// account that was served while there was no load must not wait until one that
+// starts to flood has received as much.
+func TestServiceBeforeFlood(t *testing.T) {
+	run(t, 3, document(1, 4, 4, "old", "new"), func(f *fleet) {
+		old := f.client("daemon-01", "old")
+		for range 200 {
+			f.c.Assert(old.Do(f.ctx, 1), qt.IsNil)
+		}
+		time.Sleep(2 * time.Second)
+		f.load("daemon-02", "new", 30)
+		time.Sleep(2 * time.Second)
+		for i := range 5 {
+			begin := time.Now()
+			f.c.Assert(old.Do(f.ctx, 1), qt.IsNil)
+			waited := time.Since(begin)
+			f.c.Assert(waited < 2*time.Second, qt.IsTrue, qt.Commentf("request %d took %s", i, waited))
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // TestIncorrectHints guards against an account that gains from hints that are
 // far too low.
 func TestIncorrectHints(t *testing.T) {
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -94,27 +94,46 @@
 // for the service. An account that starts to wait is lifted to the lowest
 // counter of the accounts waiting for that service, so idle time earns no
 // credit. The offset is kept for each service: a lift taken in a service that
-// is far ahead must not hold the account back in another one.
+// is far ahead must not hold the account back in another one. Where nobody
+// waits, the account is lifted to the lowest counter at which one last waited:
+// else it would be owed all that others received without a queue.
 func (l *Ledger) SetWaiting(service, account string, waiting bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := Queue{Service: service, Account: account}
 	state := l.queues.get(q)
+	lowest, contended := l.lowest(service, account)
 	if !waiting {
+		if state.waiting > 0 {
+			l.reach(service, math.Min(lowest, l.counter(q)))
+		}
 		state.waiting = 0
 		l.queues.set(q, state)
 		return
 	}
 	if state.waiting == 0 && l.remote[q].waiting == 0 {
-		if lowest, ok := l.lowest(service, account); ok {
-			state.offset = math.Max(state.offset, lowest-l.total(account))
+		if !contended {
+			lowest = l.counter(reached(service))
 		}
+		state.offset = math.Max(state.offset, lowest-l.total(account))
 	}
 	state.waiting = 1
 	l.queues.set(q, state)
 }
 
-// lowest returns the lowest counter of the other accounts that wait anywhere.
+// reached is the queue whose offset is the lowest counter at which an account
+// last waited for the service. It belongs to no account, so its counter is its
+// offset, which merges by maximum over the fleet like all others.
+func reached(service string) Queue { return Queue{Service: service} }
+
+func (l *Ledger) reach(service string, counter float64) {
+	if q := reached(service); counter > l.counter(q) {
+		l.queues.set(q, queueState{offset: counter})
+	}
+}
+
+// lowest returns the lowest counter of the other accounts that wait anywhere,
+// infinite if there is none.
 func (l *Ledger) lowest(service, except string) (float64, bool) {
 	lowest, found := math.Inf(1), false
 	visit := func(q Queue, s queueState) {
