--- a/slot/limit.go
+++ b/slot/limit.go
@@ -15,6 +15,8 @@
 	Report(now time.Time, l limit.Load)
 	Adopt(incarnation string, limit int, ramping bool)
 	Incarnation() string
+	// Configure takes over changed bounds of the configuration.
+	Configure(cold, max int)
 }
 
 // Times are the durations that owner and holder must agree on.
