Tell crashes of a target apart that never answered in between

A crash was named by the target and the last incarnation that answered. A target that crashes on its first request never answers, so all crashes by a poison request had one name and one mark, and it was never quarantined.

Ruled out: the first response of the next run renames it. With the poison request as the only one, or as the probe of an ejected target, there is none.

Crashes since the last answer are now counted in the name. Two daemons may name one crash differently, which gives two marks only to a request in flight at both. TestCrashesWithoutAnswer before: 5 crashes by 5 resends; after: 2.

--- a/frontend/handler_test.go
+++ b/frontend/handler_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"rattanline.example/rattanline/claim"
 	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/quarantine"
 	"rattanline.example/rattanline/request"
 )
 
@@ -229,6 +231,22 @@
 	assertReply(t, call("GET", "/services/stock/x", ""), 503, request.OutcomeNotRun)
 }
 
+// Guards against a poison request that crashes its only target as often as it is
+// sent, because none of the incarnations lives long enough to answer.
+func TestCrashesWithoutAnswer(t *testing.T) {
+	var crashes atomic.Int32
+	r := newRig(t, func(http.ResponseWriter, *http.Request) {
+		crashes.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	r.Quarantine = &quarantine.Registry{}
+	call := r.serve(t)
+	for range 5 {
+		call("GET", "/services/stock/x", "")
+	}
+	qt.Assert(t, crashes.Load(), qt.Equals, int32(2))
+}
+
 // Guards against two suspects at one target, where a crash would tell nothing
 // of either.
 func TestMarkedRequestsAreApart(t *testing.T) {
--- a/frontend/running.go
+++ b/frontend/running.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -36,8 +37,11 @@
 type targetRun struct {
 	target      string
 	incarnation string // the last one seen
-	members     map[*call]uint64
-	crashed     bool
+	// restarts counts the crashes since then: what crashed after the first of
+	// them was another incarnation, whose name wasn't seen.
+	restarts int
+	members  map[*call]uint64
+	crashed  bool
 }
 
 func (r *running) add(c *call) {
@@ -77,7 +81,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if incarnation != "" {
-		run.incarnation = incarnation
+		run.incarnation, run.restarts = incarnation, 0
 	}
 }
 
@@ -90,16 +94,19 @@
 	if crashed && !run.crashed {
 		run.crashed = true
 		crash = run.target + "/" + run.incarnation
+		if run.restarts > 0 {
+			crash += fmt.Sprintf("+%d", run.restarts)
+		}
 		for _, fingerprint := range run.members {
 			fingerprints = append(fingerprints, fingerprint)
 		}
 		slices.Sort(fingerprints)
-		// A crash before the first response of the next run has its old
-		// incarnation: two marks then count as one, which errs to the safe side.
-		r.targets[run.target] = &targetRun{target: run.target, incarnation: run.incarnation, members: map[*call]uint64{}}
+		r.targets[run.target] = &targetRun{
+			target: run.target, incarnation: run.incarnation, restarts: run.restarts + 1, members: map[*call]uint64{},
+		}
 	}
 	delete(run.members, c)
-	if len(run.members) == 0 && r.targets[run.target] == run && run.incarnation == "" {
+	if len(run.members) == 0 && r.targets[run.target] == run && run.incarnation == "" && run.restarts == 0 {
 		delete(r.targets, run.target)
 	}
 	return crash, slices.Compact(fingerprints)
