Clear the waiting requests of silent daemons

A coordinator kept the waiting set of a killed daemon until a new run under its name reported, which never happens when the host is replaced. The set held the floor of its services at a counter that no longer grew: holders returned each slot after each request, and accounts that started to wait were lifted only to that counter, so that they were owed all that was received since.

Ruled out: goodbyes retire a contribution, but a killed daemon says none, and a silent member removed from the table was not retired either. Waiting sets of other domains are dropped when their coordinator isn't heard; those of the own domain were not.

TestSilentDaemonHoldsNoFloor before: the floor was held for the 5 s of the check; after: cleared.

--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -11,6 +11,29 @@
 	"rattanline.example/rattanline/member"
 )
 
+// Guards against requests that wait at a daemon that was killed and for ever hold
+// the floor of their service, and against losing those of one that was frozen.
+func TestSilentDaemonHoldsNoFloor(t *testing.T) {
+	simulate(t, func(c *qt.C, fl *fleet) {
+		fl.startAll("a", 3)
+		silent, other := fl.follower("a"), fl.leader("a")
+		floor := func(want bool) func() bool {
+			return func() bool {
+				_, waiting := fl.nodes[other].Ledger.Floor("s")
+				return waiting == want
+			}
+		}
+		fl.nodes[silent].Ledger.SetWaiting("s", "x", true)
+		fl.until(5*time.Second, "the request is known", floor(true))
+		fl.freeze(silent)
+		fl.until(5*time.Second, "the frozen daemon holds no floor", floor(false))
+		fl.thaw(silent)
+		fl.until(5*time.Second, "the request is known again", floor(true))
+		fl.crash(silent)
+		fl.until(5*time.Second, "the killed daemon holds no floor", floor(false))
+	})
+}
+
 // Guards against daemons that don't find each other or their coordinators.
 func TestJoin(t *testing.T) {
 	simulate(t, func(c *qt.C, fl *fleet) {
--- a/coordinator/role.go
+++ b/coordinator/role.go
@@ -86,12 +86,23 @@
 		if n.role != nil {
 			n.decideUnconfirmed(now)
 			n.restore(now)
+			n.dropSilent(now)
 		}
 		n.mu.Unlock()
 		n.exchange(ctx)
 	})
 }
 
+// dropSilent clears the waiting requests of daemons that aren't heard: they hold
+// the floor, and accounts that start to wait are lifted only to it.
+func (n *Node) dropSilent(now time.Time) {
+	for name, e := range n.role.evidence {
+		if now.Sub(e.Heard) >= n.SilentAfter {
+			n.role.aggregate.DropWaitingAt(name)
+		}
+	}
+}
+
 // knownTotals returns the fleet totals that this daemon's ledger shows.
 func (n *Node) knownTotals() map[string]float64 {
 	totals := map[string]float64{}
--- a/usage/aggregate.go
+++ b/usage/aggregate.go
@@ -9,6 +9,7 @@
 type contribution struct {
 	writer  Source
 	version uint64
+	heard   bool // a report was applied
 	served  map[string]float64
 	queues  map[Queue]queueState
 }
@@ -78,8 +79,8 @@
 	if r.Version < c.version {
 		return c.version
 	}
-	first := c.version == 0
-	c.version = r.Version
+	first := !c.heard
+	c.version, c.heard = r.Version, true
 	for _, s := range r.Served {
 		if first {
 			a.identify(s)
@@ -210,6 +211,24 @@
 	v.version = 0
 }
 
+// DropWaitingAt clears the waiting requests of a daemon of this domain that is
+// silent. Its service stays, since its run may continue.
+func (a *Aggregate) DropWaitingAt(daemon string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.daemons[daemon]
+	if c == nil || c.version == 0 {
+		return
+	}
+	for q, s := range c.queues {
+		s.waiting = 0
+		c.queues[q] = s
+		a.sumQueue(q)
+	}
+	// The next report must bring everything again.
+	c.version = 0
+}
+
 func (a *Aggregate) sumAccount(account string) {
 	sum := a.retired[account]
 	for _, c := range a.daemons {
