Ignore timeouts of short deadlines as failures of the target

An attempt that ended with its caller's deadline was reported as a failure of the target. Five in a row eject a target for 1 to 30 s and each halves its limit, so an account with deadlines of a few milliseconds took all targets from all others.

Ruled out: the fair queue limits such an account. Its requests need a slot for only a few milliseconds and cost little.

A timeout now counts as a failure only if the target had at least half of the service's time; a target that hangs is still found by requests without a deadline of their own. TestShortDeadlineSaysNothing before: failed after 50 ms of one minute; after: canceled.

--- a/frontend/intake.go
+++ b/frontend/intake.go
@@ -191,6 +191,7 @@
 	timeout := c.service.Timeout.Std()
 	if timeout <= 0 {
 		timeout = defaultTimeout
+		c.service.Timeout = config.Duration(timeout)
 	}
 	if s := header.Get(DeadlineHeader); s != "" {
 		ms, err := strconv.ParseInt(s, 10, 64)
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// Guards against an account whose short deadlines have targets ejected.
+func TestShortDeadlineSaysNothing(t *testing.T) {
+	for timeout, want := range map[time.Duration]port.AttemptResult{time.Minute: port.Canceled, 60 * time.Millisecond: port.Failed} {
+		tg := target(t, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			<-r.Context().Done()
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		a := attempt(tg, desk)
+		a.Service.Timeout = config.Duration(timeout)
+		_, result := (&Client{}).Send(ctx, a)
+		assertResult(t, result, want, true, false)
+	}
+}
+
 // Guards against completions that cost nothing because their caller gives them
 // up before they end.
 func TestGivenUpCompletionIsCharged(t *testing.T) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -57,7 +57,7 @@
 	response, err := transport.RoundTrip(r)
 	if err != nil {
 		written := watch.giveUp()
-		result := Result{Attempt: port.Attempt{Result: brokenResult(ctx), Total: time.Since(started)}, Written: written, Err: err}
+		result := Result{Attempt: port.Attempt{Result: brokenResult(ctx, a, time.Since(started)), Total: time.Since(started)}, Written: written, Err: err}
 		if !written {
 			result.Result = notSentResult(ctx)
 		}
@@ -113,12 +113,14 @@
 	return r.WithContext(ctx), nil
 }
 
-// brokenResult classifies an attempt without a complete response.
-func brokenResult(ctx context.Context) port.AttemptResult {
+// brokenResult classifies an attempt without a complete response. A deadline that
+// left the target less than half of the service's time says nothing of it: an
+// account with short deadlines would have targets ejected.
+func brokenResult(ctx context.Context, a Attempt, total time.Duration) port.AttemptResult {
 	switch {
 	case ctx.Err() == nil:
 		return port.Crashed
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && total >= a.Service.Timeout.Std()/2:
 		return port.Failed
 	default:
 		return port.Canceled
@@ -243,7 +245,7 @@
 		result.Complete = true
 		return result
 	}
-	result := e.result(brokenResult(e.ctx))
+	result := e.result(brokenResult(e.ctx, e.attempt, time.Since(e.started)))
 	result.Err = err
 	var w writeError
 	var b boundError
