Ignore a report of totals that was overtaken by a newer one

Cause: a late reply of the same coordinator replaced newer totals, so counters stepped back until the next exchange. Found by reading.

Ruled out: a new term of the same daemon that starts again at version 0; the writer's name contains the term.

--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -202,6 +202,9 @@
 func (l *Ledger) Apply(r Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.applied.Writer == r.Writer && r.Version < l.applied.Version {
+		return // overtaken by a newer one
+	}
 	if r.Since == 0 {
 		// The waiting sets of a former coordinator are out of date, while its
 		// totals stay valid until the new one replaces them.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -194,3 +194,21 @@
 	_, waiting = local.Floor("draft")
 	c.Assert(waiting, qt.IsTrue)
 }
+
+// Guards against counters that step back when a reply is overtaken by a later
+// one.
+func TestOvertakenReportIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	coordinator := source("x", 1)
+	a := usage.NewAggregate(coordinator)
+	l, other := usage.NewLedger(source("d", 1), equalShares), usage.NewLedger(source("e", 1), equalShares)
+	charge := func() usage.Report {
+		other.Charge("shop", 10)
+		exchange(other, "e", a, coordinator, never)
+		return a.ReportFor("d", l.Applied())
+	}
+	early, late := charge(), charge()
+	l.Apply(late)
+	l.Apply(early)
+	assertTotal(c, l, "shop", 20)
+}
