Shorten the ids of daemon runs

Cause: the incarnation is repeated with each slot in each renewal; a UUID took 36 bytes each time.

Change: 8 characters, 40 random bits; it only has to differ from other runs of the same name. The sessions name it separately.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"fmt"
 	"net"
@@ -14,7 +15,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -97,7 +97,7 @@
 	}
 	d.self = member.Member{
 		Name: d.Settings.Name, Host: d.Settings.Host, Domain: d.Settings.FailureDomain,
-		Incarnation: uuid.NewString(),
+		Incarnation: newIncarnation(),
 		LinkAddress: orDefault(d.Settings.LinkAdvertise, d.server.Addr()),
 		EntryURL:    orDefault(d.Settings.EntryURL, "http://"+d.entry.Addr().String()),
 	}
@@ -106,6 +106,11 @@
 	return d.register()
 }
 
+// newIncarnation returns a random id of this run. It only has to differ from
+// those of other runs of the same name, and is repeated in each slot that is
+// sent, so it is short: 40 bits.
+func newIncarnation() string { return rand.Text()[:8] }
+
 func orDefault(value, fallback string) string {
 	if value != "" {
 		return value
--- a/session/mask_test.go
+++ b/session/mask_test.go
@@ -38,6 +38,7 @@
 	}{
 		{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)`), "<time>"},
 		{regexp.MustCompile(`"created":\d+`), `"created":<seconds>`},
+		{regexp.MustCompile(`"incarnation": "[A-Z2-7]{8}"`), `"incarnation": "<incarnation>"`},
 		{regexp.MustCompile(`"sequence":\d+`), `"sequence":<number>`},
 		{regexp.MustCompile(`-ms":[\d.]+`), `-ms":<ms>`},
 		{regexp.MustCompile(`127\.0\.0\.1:\d+`), "<client>"},
