Write claims that wait behind a batch of gone callers

The claim writer takes 400 operations and drops those whose callers are gone. If all were, the batch was empty and the writer slept until the next claim, although more operations waited; after an outage they timed out as not-run.

Ruled out: the wake-up of each claim. It is consumed by the turn that found only gone callers.

Gone callers are now dropped before the batch is taken.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,16 +84,12 @@
 func (w *writer) take(batch []*waiting) []*waiting {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	gone := func(p *waiting) bool { return p.ctx.Err() != nil }
+	w.pending, batch = slices.DeleteFunc(w.pending, gone), slices.DeleteFunc(batch, gone)
 	n := min(len(w.pending), MaxBatch-len(batch))
 	batch = append(batch, w.pending[:n]...)
 	w.pending = append([]*waiting(nil), w.pending[n:]...)
-	kept := batch[:0]
-	for _, p := range batch {
-		if p.ctx.Err() == nil {
-			kept = append(kept, p)
-		}
-	}
-	return kept
+	return batch
 }
 
 func (w *writer) run(ctx context.Context) error {
