--- a/coordinator/role.go
+++ b/coordinator/role.go
@@ -88,8 +88,8 @@
 		if n.role != nil {
 			n.decideUnconfirmed(now)
 			n.restore(now)
-			n.dropSilent(now)
 			n.reportVersions(now)
+			n.dropSilent(now)
 		}
 		n.mu.Unlock()
 		n.exchange(ctx)
