Thaw a crashed target only after its owner knows of the crash

Cause: a holder that saw a target crash stops new work there until the target's owner has answered a later renewal. With the owner frozen, the observation of the crash was on its way to it for up to a slot lease, and meanwhile the successor answered renewals that said nothing of the crash. The holder went on with the slots of the warm target, and the successor adopted the old limit until its first load report. Change: only the answer to a renewal that carries the crash, or the new incarnation, ends the stop. An observation that a former owner took is sent to the current one as well, which otherwise would never be told. TestFreeze expected the end of the stop after any later renewal; it now checks that such an answer doesn't end it and that the one to the observation does. Ruled out: the frozen owner itself; the requests beyond the limit were counted before it resumed. The crash was visible: all holders had requests in flight.

--- a/dispatch/holder.go
+++ b/dispatch/holder.go
@@ -303,6 +303,7 @@
 		return
 	}
 	d.holder.Reply(now, source, r, sent, reply)
+	d.restore(d.misdirected(source, r.Observations))
 	d.received(now, source, reply.Granted)
 }
 
@@ -352,3 +353,15 @@
 	}
 	return false
 }
+
+// misdirected returns the observations that a former owner took: the current
+// one must know of them as well.
+func (d *Dispatcher) misdirected(source usage.Source, seen map[string]limit.Observation) map[string]limit.Observation {
+	found := map[string]limit.Observation{}
+	for target, o := range seen {
+		if owner, ok := d.index.owner(target); ok && owner != source {
+			found[target] = o
+		}
+	}
+	return found
+}
--- a/slot/holder.go
+++ b/slot/holder.go
@@ -167,7 +167,7 @@
 }
 
 // Freeze stops new work at the target until its owner has answered a renewal
-// sent after now: the target crashed or runs as a new incarnation, and its
+// that was sent after now and says so: the target crashed or runs as a new incarnation, and its
 // limit may have fallen.
 func (h *Holder) Freeze(target string) {
 	h.owner(h.Self)
@@ -285,7 +285,11 @@
 	}
 	maps.DeleteFunc(h.frozen, func(target string, sequence uint64) bool {
 		current, ok := h.Owner(target)
-		return ok && current == source && r.Sequence > sequence
+		// While the observation is on its way to a former owner, the current one
+		// answers without knowing of the crash.
+		seen := r.Observations[target]
+		told := seen.Crashes > 0 || seen.Incarnation != ""
+		return ok && current == source && r.Sequence > sequence && told
 	})
 }
 
--- a/slot/holder_test.go
+++ b/slot/holder_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"rattanline.example/rattanline/limit"
 	"rattanline.example/rattanline/slot"
 	"rattanline.example/rattanline/usage"
 )
@@ -78,7 +79,8 @@
 }
 
 // TestFreeze guards against new work at a crashed target before its owner has
-// answered a renewal that was sent after the crash.
+// answered a renewal that told it of the crash: a new owner may answer while the
+// observation is on its way to the former one.
 func TestFreeze(t *testing.T) {
 	h, s := newHolder()
 	before := h.Renewal(epoch, ownerSource, 0)
@@ -87,5 +89,9 @@
 	h.Reply(epoch, ownerSource, before, epoch, reply)
 	assertFree(t, h, epoch, 0)
 	answer(h, epoch, epoch, reply)
+	assertFree(t, h, epoch, 0)
+	told := h.Renewal(epoch, ownerSource, 0)
+	told.Observations = map[string]limit.Observation{target: {Crashes: 1}}
+	h.Reply(epoch, ownerSource, told, epoch, reply)
 	assertFree(t, h, epoch, 1)
 }
