Test configurations over whole daemon processes

Cause: the embedded fleet can't be killed, frozen or stopped by signals. Change: package process starts its own test binary as daemons on loopback addresses of their own, with stand-ins inside the test and relays that hold links back. Ruled out: free ports, which outgoing connections take during a restart.

--- /dev/null
+++ b/process/fleet_test.go
@@ -0,0 +1,364 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/etcd"
+	"rattanline.example/rattanline/operator"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/standin"
+	"rattanline.example/rattanline/submission"
+)
+
+const (
+	assistant = "assistant"  // model service, idempotent
+	stockDesk = "stock-desk" // plain service
+)
+
+// startLimit bounds the start of a fleet.
+const startLimit = 25 * time.Second
+
+// options describe a fleet; each failure domain gets the numbers given.
+type options struct {
+	domains, daemons  int
+	engines, services int
+	engine            standin.EngineOptions
+	service           standin.ServiceOptions
+	accounts          []string
+	// relays puts a relay before each link listener and each failure domain's
+	// way to the platform.
+	relays   bool
+	settings map[string]string
+	document func(config.Document) config.Document
+	// wrap replaces the handler of a target; may be nil.
+	wrap func(http.Handler) http.Handler
+}
+
+// fleet is a set of daemon processes and the stand-ins around them.
+type fleet struct {
+	c        *qt.C
+	random   *rand.Rand
+	options  options
+	daemons  []*daemonProcess
+	keyValue *standin.KeyValue
+	hostList *standin.HostList
+	hosts    map[string]port.HostState
+	engines  map[string]*standin.Engine
+	services map[string]*standin.Service
+	relays   *relays
+	platform map[string]*relay // by failure domain
+
+	platformURL, hostListURL string
+}
+
+// fleets numbers the fleets of this process, so that each has its own addresses.
+var fleets atomic.Uint32
+
+// address returns a loopback address that no other fleet uses and that, unlike
+// a free port, no outgoing connection takes while its daemon restarts.
+func address(number uint32, i int) string {
+	pid := os.Getpid()
+	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 1+pid%250, number, 1+i), fmt.Sprint(10000+pid/250%20000))
+}
+
+func domainName(i int) string { return []string{"kurume", "okawa", "yame"}[i] }
+
+// startFleet starts a fleet and waits until every daemon serves callers.
+func startFleet(t *testing.T, o options) *fleet {
+	c := qt.New(t)
+	t.Logf("seed %d", *seed)
+	f := &fleet{
+		c: c, random: rand.New(rand.NewPCG(*seed, 0)), options: o,
+		keyValue: standin.NewKeyValue(), hostList: standin.NewHostList(), hosts: map[string]port.HostState{},
+		engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{}, platform: map[string]*relay{},
+	}
+	f.relays = &relays{fleet: f}
+	f.platformURL, _ = standin.Start(t, f.keyValue)
+	f.hostListURL, _ = standin.Start(t, f.hostList)
+	if len(o.accounts) == 0 {
+		f.options.accounts = []string{"shop"}
+	}
+	f.submitFirst(f.document())
+	number := fleets.Add(1)
+	for i := range o.domains * o.daemons {
+		f.addDaemon(number, i)
+	}
+	f.hostList.Set(f.hosts)
+	t.Cleanup(f.close)
+	for _, d := range f.daemons {
+		f.configure(d)
+		d.start()
+	}
+	began := time.Now()
+	for _, d := range f.daemons {
+		d.awaitReady(startLimit)
+	}
+	ready := time.Since(began)
+	f.awaitServing(startLimit)
+	t.Logf("%d daemons ready after %s, serving after %s", len(f.daemons), ready.Round(time.Millisecond), time.Since(began).Round(time.Millisecond))
+	return f
+}
+
+// awaitServing waits until targets of every service and failure domain have
+// answered: owners grant nothing for the first seconds, in which earlier owners
+// may still act.
+func (f *fleet) awaitServing(limit time.Duration) {
+	f.c.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer cancel()
+	// More requests than one target runs, so that all targets are needed.
+	for i := range 8 * len(f.daemons) {
+		x, d := f.caller(i), f.daemons[i%len(f.daemons)]
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				switch {
+				case f.options.services == 0 || (f.options.engines > 0 && i/len(f.daemons)%2 == 0):
+					x.send(ctx, d.url(), completion(fmt.Sprintf("warm-up %d at %s", n, d.name), 20, false))
+				default:
+					x.send(ctx, d.url(), lookup("warm-up"))
+				}
+				time.Sleep(refusedPause)
+			}
+		})
+	}
+	eventually(f.c, limit, "all failure domains serve", func() error {
+		completed := map[string]int{} // by target without its number
+		for name, s := range f.stats() {
+			completed[name[:len(name)-2]] += s.Completed
+		}
+		for name, n := range completed {
+			if n == 0 {
+				return errors.Errorf("%s does not", name)
+			}
+		}
+		return nil
+	})
+}
+
+// stats returns what happened at each target.
+func (f *fleet) stats() map[string]standin.Stats {
+	all := map[string]standin.Stats{}
+	for name, e := range f.engines {
+		all[name] = e.Stats()
+	}
+	for name, s := range f.services {
+		all[name] = s.Stats()
+	}
+	return all
+}
+
+// close ends all processes and shows the complaints of a failed test.
+func (f *fleet) close() {
+	for _, d := range f.daemons {
+		if d.command == nil {
+			continue
+		}
+		d.kill()
+		if f.c.TB.(*testing.T).Failed() {
+			f.c.Log(d.complaints())
+		}
+	}
+}
+
+// addDaemon chooses the addresses of a daemon.
+func (f *fleet) addDaemon(number uint32, i int) *daemonProcess {
+	domain := domainName(i / f.options.daemons)
+	name := fmt.Sprintf("%s-%d", domain, i%f.options.daemons)
+	d := &daemonProcess{
+		c: f.c, name: name, host: name + "-host", domain: domain,
+		entry: address(number, 4*i), link: address(number, 4*i+1), control: address(number, 4*i+2),
+		client: &http.Client{Timeout: time.Second},
+	}
+	d.operator = &operator.Client{URL: "http://" + d.control}
+	directory := f.c.TempDir()
+	d.settings, d.log = filepath.Join(directory, name+".yaml"), filepath.Join(directory, name+".log")
+	if *logDirectory != "" {
+		logs := filepath.Join(*logDirectory, f.c.Name())
+		f.c.Assert(os.MkdirAll(logs, 0o755), qt.IsNil)
+		d.log = filepath.Join(logs, name+".log")
+		_ = os.Remove(d.log) // of an earlier run
+	}
+	if f.options.relays {
+		d.relay = f.relays.start(address(number, 4*i+3), d.link)
+		if f.platform[domain] == nil {
+			f.platform[domain] = f.relays.start("127.0.0.1:0", strings.TrimPrefix(f.platformURL, "http://"))
+		}
+	}
+	f.hosts[d.host] = port.HostLive
+	f.daemons = append(f.daemons, d)
+	return d
+}
+
+// advertised returns the link address that other daemons use.
+func (d *daemonProcess) advertised() string {
+	if d.relay != nil {
+		return d.relay.address
+	}
+	return d.link
+}
+
+// configure writes the settings file.
+func (f *fleet) configure(d *daemonProcess) {
+	platform := f.platformURL
+	if r := f.platform[d.domain]; r != nil {
+		platform = "http://" + r.address
+	}
+	var peers []string
+	for _, other := range f.daemons {
+		if other != d {
+			peers = append(peers, fmt.Sprintf("%q", other.advertised()))
+		}
+	}
+	var b strings.Builder
+	for _, x := range [][2]string{
+		{"name", d.name},
+		{"host", d.host},
+		{"failure-domain", d.domain},
+		{"entry-address", fmt.Sprintf("%q", d.entry)},
+		{"entry-url", d.url()},
+		{"link-address", fmt.Sprintf("%q", d.link)},
+		{"link-advertise", fmt.Sprintf("%q", d.advertised())},
+		{"operator-address", fmt.Sprintf("%q", d.control)},
+		{"tls-mode", "plain"},
+		{"platform-url", platform},
+		{"host-list-url", f.hostListURL},
+		{"peers", "[" + strings.Join(peers, ", ") + "]"},
+	} {
+		fmt.Fprintf(&b, "%s: %s\n", x[0], x[1])
+	}
+	for name, value := range f.options.settings {
+		fmt.Fprintf(&b, "%s: %s\n", name, value)
+	}
+	f.c.Assert(os.WriteFile(d.settings, []byte(b.String()), 0o644), qt.IsNil)
+}
+
+// document starts the targets and returns the configuration that names them.
+func (f *fleet) document() config.Document {
+	d := config.Document{Services: []config.Service{
+		{Name: assistant, Kind: config.Model, Price: config.Price{InputToken: 0.1, OutputToken: 1}, Idempotent: true},
+		{Name: stockDesk, Kind: config.Plain, Price: config.Price{Request: 5}},
+	}}
+	for _, name := range f.options.accounts {
+		d = d.WithAccount(config.Account{
+			Name: name, Share: 1, Services: []string{assistant, stockDesk}, KeyDigests: []string{config.KeyDigest(keyOf(name))},
+			MaxQueued: 1024,
+		})
+	}
+	for i := range f.options.domains {
+		domain := domainName(i)
+		d = d.WithFailureDomain(config.FailureDomain{Name: domain, Region: "local"})
+		for j := range f.options.engines {
+			e := standin.NewEngine(f.options.engine)
+			name := fmt.Sprintf("%s-engine-%d", domain, j)
+			f.engines[name] = e
+			d = d.WithTarget(f.target(name, assistant, domain, e, f.options.engine.TargetOptions))
+		}
+		for j := range f.options.services {
+			s := standin.NewService(f.options.service)
+			name := fmt.Sprintf("%s-service-%d", domain, j)
+			f.services[name] = s
+			d = d.WithTarget(f.target(name, stockDesk, domain, s, f.options.service.TargetOptions))
+		}
+	}
+	if f.options.document != nil {
+		d = f.options.document(d)
+	}
+	return d
+}
+
+func (f *fleet) target(name, service, domain string, h http.Handler, o standin.TargetOptions) config.Target {
+	if f.options.wrap != nil {
+		h = f.options.wrap(h)
+	}
+	url, _ := standin.Start(f.c.TB.(*testing.T), h)
+	f.hosts[name+"-host"] = port.HostLive
+	return config.Target{
+		Name: name, Service: service, FailureDomain: domain, URL: url, Host: name + "-host",
+		ColdLimit: max(o.ColdLimit, 1), MaxLimit: max(o.Capacity, 1),
+	}
+}
+
+func (f *fleet) submitFirst(d config.Document) {
+	store := &submission.Store{KeyValue: etcd.New(f.platformURL)}
+	outcome, err := store.Submit(context.Background(), submission.Request{ID: uuid.NewString(), Author: "test", Document: d})
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(outcome, qt.Satisfies, func(o submission.Outcome) bool { _, ok := o.(submission.Accepted); return ok })
+}
+
+// submit changes the configuration through a daemon and returns the accepted
+// version and when it was accepted.
+func (f *fleet) submit(d *daemonProcess, change func(config.Document) config.Document) (uint64, time.Time) {
+	f.c.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	current, err := d.operator.Configuration(ctx, 0)
+	f.c.Assert(err, qt.IsNil)
+	outcome, err := d.operator.Submit(ctx, submission.Request{
+		ID: uuid.NewString(), Base: current.Version, Document: change(current),
+	})
+	return f.accepted(outcome, err)
+}
+
+// setDrained drains or restores a failure domain through a daemon.
+func (f *fleet) setDrained(d *daemonProcess, domain string, drained bool) (uint64, time.Time) {
+	f.c.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	return f.accepted(d.operator.SetDrained(ctx, domain, drained, uuid.NewString()))
+}
+
+func (f *fleet) accepted(outcome submission.Outcome, err error) (uint64, time.Time) {
+	f.c.Helper()
+	f.c.Assert(err, qt.IsNil)
+	a, ok := outcome.(submission.Accepted)
+	f.c.Assert(ok, qt.IsTrue, qt.Commentf("outcome %#v", outcome))
+	return a.Version, time.Now()
+}
+
+// coordinator returns the daemon that its failure domain follows.
+func (f *fleet) coordinator(domain string) *daemonProcess {
+	f.c.Helper()
+	var found *daemonProcess
+	eventually(f.c, 15*time.Second, "coordinator of "+domain, func() error {
+		for _, d := range f.daemons {
+			if d.domain != domain {
+				continue
+			}
+			s, err := d.status()
+			if err != nil {
+				continue
+			}
+			for _, other := range f.daemons {
+				if other.name == strings.TrimSuffix(s.Coordinator, " (unconfirmed)") {
+					found = other
+					return nil
+				}
+			}
+		}
+		return errors.New("none is named")
+	})
+	return found
+}
+
+// outage begins or ends an outage of the platform for all daemons.
+func (f *fleet) outage(kind string) {
+	f.c.Assert(f.keyValue.SetFault(standin.KeyValueFault{Fault: standin.Fault{Outage: kind}}), qt.IsNil)
+}
