Let the suspicion after a crash lapse without a load report

Cause: an owner took a crashed target as cold until a load report came, so a target that sends none stayed at its cold limit until its ownership moved.

Ruled out: dropping the suspicion; the report is the first that shows a restart.

Change: it lapses after orphan-time (10 s); the limit's own ramp goes on.

Result: TestSuspectLapses stayed at the cold limit before and passes now.

--- a/slot/owned.go
+++ b/slot/owned.go
@@ -34,9 +34,10 @@
 	// is the number of requests that report showed beyond them.
 	peak    int
 	reports []unknown
-	// suspect is set by a crash until a load report shows which incarnation
-	// runs, since a restarted target is cold.
-	suspect  bool
+	// suspect is the time until which a target that crashed is taken as cold. A
+	// load report ends it, since it shows which incarnation runs; a target that
+	// sends none must not stay at its cold limit for ever.
+	suspect  time.Time
 	balanced time.Time // when slots were last balanced between holders
 	restart  bool      // a crash was reported since slots were last decided
 	// incarnation is the target's when slots were last decided.
@@ -55,14 +56,14 @@
 
 // configure takes over a changed configuration of the target. Behind another
 // address runs another server, which is treated like a restarted one.
-func (t *owned) configure(target config.Target, closed bool) {
+func (t *owned) configure(target config.Target, closed bool, suspect time.Time) {
 	old := t.target
 	t.target, t.closed = target, closed
 	if old.ColdLimit != target.ColdLimit || old.MaxLimit != target.MaxLimit {
 		t.limit.Configure(target.ColdLimit, target.MaxLimit)
 	}
 	if old.URL != target.URL {
-		t.suspect, t.restart = true, true
+		t.suspect, t.restart = suspect, true
 	}
 }
 
@@ -73,7 +74,7 @@
 	}
 	total := t.limit.Limit()
 	allowed := min(share.Limit(total), total-t.unknown(share))
-	if t.suspect {
+	if now.Before(t.suspect) {
 		allowed = min(allowed, t.target.ColdLimit)
 	}
 	if t.limit.Ejected(now) {
@@ -101,7 +102,7 @@
 // the largest number of slots that existed since the last report.
 func (t *owned) report(now time.Time, l limit.Load, window time.Duration) {
 	t.limit.Report(now, l)
-	t.suspect = false
+	t.suspect = time.Time{}
 	t.reports = append(t.reports, unknown{at: now, count: max(0, l.Running+l.Queued-t.peak)})
 	for now.Sub(t.reports[0].at) > window {
 		t.reports = t.reports[1:]
@@ -127,10 +128,9 @@
 	return largest
 }
 
-func (t *owned) observe(now time.Time, o limit.Observation) {
-	if o.Crashes > 0 && !t.suspect {
-		t.suspect = true
-		t.restart = true
+func (t *owned) observe(now time.Time, o limit.Observation, suspect time.Time) {
+	if o.Crashes > 0 && !now.Before(t.suspect) {
+		t.suspect, t.restart = suspect, true
 	}
 	t.limit.Observe(now, o)
 }
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -76,7 +76,7 @@
 		if o.targets[t.Name] == nil {
 			o.targets[t.Name] = newOwned(t, o.NewLimit(t), now.Add(o.Times.OwnerLease+o.Times.SlotLease))
 		}
-		o.targets[t.Name].configure(t, closed(t))
+		o.targets[t.Name].configure(t, closed(t), now.Add(o.Times.OrphanTime))
 	}
 	for name := range o.targets {
 		if !current[name] {
@@ -128,7 +128,7 @@
 	}
 	for name, seen := range r.Observations {
 		if t := o.targets[name]; t != nil {
-			t.observe(now, seen)
+			t.observe(now, seen, now.Add(o.Times.OrphanTime))
 		}
 	}
 	for _, s := range r.Returned {
--- a/slot/owner_test.go
+++ b/slot/owner_test.go
@@ -145,6 +145,22 @@
 	b.assertKnown(4)
 }
 
+// TestSuspectLapses guards against a target without load reports that stays at
+// its cold limit for ever after one crash.
+func TestSuspectLapses(t *testing.T) {
+	b := newBench(t, 4, even)
+	r := b.renewal(first, nil, "a", "a", "a", "a")
+	r.Observations = map[string]limit.Observation{target: {Crashes: 1}}
+	held := b.renew(r).Granted
+	b.c.Assert(held, qt.HasLen, only.ColdLimit)
+	for range times.OrphanTime / time.Second {
+		b.assertKnown(only.ColdLimit)
+		b.pass(time.Second)
+		held = append(held, b.renew(b.renewal(first, held, "a", "a", "a", "a")).Granted...)
+	}
+	b.assertKnown(4)
+}
+
 // TestRestartRecallsAll guards against a holder that goes on with a kept slot
 // while others still use theirs at the cold incarnation.
 func TestRestartRecallsAll(t *testing.T) {
