End the stop at a crashed target also by an overtaken answer

Cause: TestColdAgain failed in about 7 of 60 runs: a holder stopped work at a target until its owner answered the renewal that told of the crash. That answer was overtaken by a later one and ignored as old, so the holder kept its slot idle for good. A trace showed the stop 14 s after the crash, with the slot held.

Ruled out: requests of the load report beyond the known slots (0), and the limit (8 of 8 granted).

Change: an overtaken answer still ends the stop. The owner rejects renewals that are older than one it has seen, so an answer shows that it took the observation.

--- a/slot/holder.go
+++ b/slot/holder.go
@@ -167,8 +167,8 @@
 }
 
 // Freeze stops new work at the target until its owner has answered a renewal
-// that was sent after now and says so: the target crashed or runs as a new incarnation, and its
-// limit may have fallen.
+// that was sent after now and says so: the target crashed or runs as a new
+// incarnation, and its limit may have fallen.
 func (h *Holder) Freeze(target string) {
 	h.owner(h.Self)
 	h.frozen[target] = h.sequence
@@ -264,7 +264,12 @@
 // Reply takes the answer to a renewal that was sent at the given time.
 func (h *Holder) Reply(now time.Time, source usage.Source, r Renewal, sent time.Time, reply RenewalReply) {
 	o := h.owner(source)
-	if reply.Owner != source || r.Sequence <= o.acked {
+	if reply.Owner != source {
+		return
+	}
+	// Also an answer that a later one overtook shows what the owner was told.
+	h.thaw(source, r)
+	if r.Sequence <= o.acked {
 		return
 	}
 	o.acked = r.Sequence
@@ -283,6 +288,11 @@
 	for _, s := range reply.Recalled {
 		h.recall(now, s)
 	}
+}
+
+// thaw allows new work at frozen targets whose owner took an observation of the
+// crash or the new incarnation with the renewal.
+func (h *Holder) thaw(source usage.Source, r Renewal) {
 	maps.DeleteFunc(h.frozen, func(target string, sequence uint64) bool {
 		current, ok := h.Owner(target)
 		// While the observation is on its way to a former owner, the current one
--- a/slot/holder_test.go
+++ b/slot/holder_test.go
@@ -95,3 +95,17 @@
 	h.Reply(epoch, ownerSource, told, epoch, reply)
 	assertFree(t, h, epoch, 1)
 }
+
+// TestFreezeEndsByOvertakenAnswer guards against a slot that idles for ever
+// because a later answer arrived before the one to the observation.
+func TestFreezeEndsByOvertakenAnswer(t *testing.T) {
+	h, s := newHolder()
+	h.Freeze(target)
+	reply := slot.RenewalReply{Owner: ownerSource, Valid: []slot.Slot{s}}
+	told := h.Renewal(epoch, ownerSource, 0)
+	told.Observations = map[string]limit.Observation{target: {Crashes: 1}}
+	answer(h, epoch, epoch, reply)
+	assertFree(t, h, epoch, 0)
+	h.Reply(epoch, ownerSource, told, epoch, reply)
+	assertFree(t, h, epoch, 1)
+}
--- a/slot/world_test.go
+++ b/slot/world_test.go
@@ -50,7 +50,7 @@
 func (f *fixed) Observe(time.Time, limit.Observation) {}
 func (f *fixed) Report(time.Time, limit.Load)         {}
 func (f *fixed) Incarnation() string                  { return f.incarnation }
-func (f *fixed) Configure(_, maximum int) { f.limit = min(f.limit, maximum) }
+func (f *fixed) Configure(_, maximum int)             { f.limit = min(f.limit, maximum) }
 
 func (f *fixed) Adopt(incarnation string, l int, ramping bool) {
 	f.incarnation, f.limit, f.ramping = incarnation, l, ramping
