Hold the failure of a request under which a target crashed

Cause: TestPoison saw 4 crashes, 3 are allowed: the caller sent the request again 50 ms later to another daemon, before the marks of the crashes, which travel with heartbeats and exchanges, had arrived there.

Ruled out: sending marks at once; they would still race with a caller next to another daemon.

Change: the response to a request under which a target crashed is held until its marks are known everywhere: three exchange intervals and 250 ms after the crash.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -70,7 +70,8 @@
 			AccountByKey: func(key string) (config.Account, bool) { return d.index.get().AccountByKey(key) },
 			Service:      func(name string) (config.Service, bool) { return d.index.get().Service(name) },
 		},
-		Refuse: d.refuse, Entries: d.entries, EntriesTTL: s.EntriesTTL, Ready: d.ready, Quarantine: d.poison,
+		Refuse: d.refuse, Entries: d.entries, EntriesTTL: s.EntriesTTL, Ready: d.ready,
+		Quarantine: d.poison, MarkTime: markTime(s.ExchangeInterval),
 		RetryBudget: routing.NewBudget(s.RetryRatio, retryReserve),
 		Refresh:     d.node.Refresh, Recorder: d.events, Logger: d.Logger, MaxBody: s.MaxBody,
 	}
@@ -78,6 +79,13 @@
 	d.collector = &operator.Collector{Link: d.link, View: d.node.View, Local: d.peer}
 }
 
+// markDelay allows for the delays of links, one lost packet included.
+const markDelay = 250 * time.Millisecond
+
+// markTime returns how long a mark takes to all daemons: with the heartbeat to
+// the coordinator, the exchange to the others, and their replies to heartbeats.
+func markTime(interval time.Duration) time.Duration { return 3*interval + markDelay }
+
 func newLimit(t config.Target) dispatch.Limit { return limit.New(t.ColdLimit, t.MaxLimit) }
 
 // chooser adapts the choice among targets to the dispatcher, which calls it
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -42,6 +42,8 @@
 	avoid    []string
 	target   config.Target
 	sentAt   time.Time
+	// crashed is when a target last crashed under the request.
+	crashed time.Time
 	// held is the error response of the last attempt, written if the retry
 	// finds no target.
 	held    *response
@@ -150,7 +152,8 @@
 	result := c.send(ctx, slot, run)
 	crash, fingerprints := h.running.leave(c, run, result.Result == port.Crashed)
 	if crash != "" && h.Quarantine != nil {
-		h.Quarantine.Crash(time.Now(), crash, fingerprints)
+		c.crashed = time.Now()
+		h.Quarantine.Crash(c.crashed, crash, fingerprints)
 		c.record("target-crashed", crash)
 	}
 	finished = true
@@ -264,6 +267,7 @@
 
 // refuse ends the call without another attempt.
 func (c *call) refuse(r *request.Refusal) {
+	c.awaitMarks()
 	c.timeout = r.Reason == request.DeadlinePassed
 	c.next(request.Refuse{Refusal: r})
 	switch s := c.state.(type) {
@@ -282,6 +286,7 @@
 
 // lose ends a call that may have run without a complete response.
 func (c *call) lose(cause string) {
+	c.awaitMarks()
 	c.next(request.Lose{Cause: cause})
 	p := request.ProblemOfUnknown(c.id, request.Unknown{Cause: cause}, c.timeout)
 	if c.out.committed {
@@ -290,3 +295,12 @@
 	}
 	c.out.problem(p)
 }
+
+// awaitMarks holds the failure of a request under which a target crashed until
+// other daemons know its marks. Its caller often sends it again at once and to
+// another daemon, which would let it crash further targets.
+func (c *call) awaitMarks() {
+	if !c.crashed.IsZero() {
+		time.Sleep(time.Until(c.crashed.Add(c.handler.MarkTime)))
+	}
+}
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -60,6 +60,8 @@
 	// Refuse returns a refusal while the daemon takes no new work.
 	Refuse  func() *request.Refusal
 	Entries func() []Entry
+	// MarkTime is how long the marks of a crash take to reach all daemons.
+	MarkTime time.Duration
 	// EntriesTTL is how long callers may keep the entries; zero means 10 s.
 	EntriesTTL  time.Duration
 	Ready       func() error
