--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -19,6 +19,7 @@
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/member"
 	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/simulation"
 	"rattanline.example/rattanline/usage"
 )
 
@@ -27,7 +28,7 @@
 // fleet is a set of nodes on an in-memory platform and links.
 type fleet struct {
 	c        *qt.C
-	store    *store
+	store    *simulation.KeyValue
 	links    *links
 	nodes    map[string]*running
 	serial   int
@@ -44,12 +45,12 @@
 func simulate(t *testing.T, f func(c *qt.C, fl *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		fl := &fleet{c: c, store: newStore(), links: newLinks(), nodes: map[string]*running{}, versions: map[string]uint64{}}
+		fl := &fleet{c: c, store: simulation.NewKeyValue(), links: newLinks(), nodes: map[string]*running{}, versions: map[string]uint64{}}
 		defer func() {
 			for _, n := range fl.nodes {
 				n.cancel()
 			}
-			fl.store.close()
+			fl.store.Close()
 			for _, n := range fl.nodes {
 				<-n.done
 			}
@@ -66,7 +67,7 @@
 		Self: member.Member{
 			Name: name, Host: "host-" + name, Domain: name[:1], Incarnation: incarnation, LinkAddress: name + ":1",
 		},
-		KeyValue:            &client{store: fl.store, name: name},
+		KeyValue:            &simulation.Client{Store: fl.store, Name: name},
 		Link:                &link{links: fl.links, name: name},
 		Ledger:              usage.NewLedger(usage.Source{Daemon: name, Incarnation: incarnation}, func(string) float64 { return 1 }),
 		ConfigurationKey:    configurationKey,
@@ -135,13 +136,13 @@
 // crash stops a daemon without a word.
 func (fl *fleet) crash(name string) {
 	fl.links.cut(name, "*")
-	fl.store.block(name, true)
+	fl.store.Block(name, true)
 	fl.nodes[name].cancel()
 	<-fl.nodes[name].done
 	delete(fl.nodes, name)
 	fl.links.heal(name, "*")
 	fl.links.register(name, nil)
-	fl.store.block(name, false)
+	fl.store.Block(name, false)
 }
 
 // leave stops a daemon gracefully.
@@ -251,7 +252,7 @@
 
 // accept writes a configuration version as an operator's daemon would.
 func (fl *fleet) accept(version uint64) {
-	fl.store.put(configurationKey, []byte(fmt.Sprint(version)))
+	fl.store.Put(configurationKey, []byte(fmt.Sprint(version)))
 }
 
 func decode(value []byte) (config.Document, error) {
--- a/coordinator/node_test.go
+++ b/coordinator/node_test.go
@@ -39,7 +39,7 @@
 	simulate(t, func(c *qt.C, fl *fleet) {
 		fl.accept(1)
 		fl.startAll("abc", 3)
-		c.Log("platform calls of 9 daemons until settled:", fl.store.total())
+		c.Log("platform calls of 9 daemons until settled:", fl.store.Total())
 		c.Check(fl.allHave(1)(), qt.IsTrue)
 		fl.run(10 * time.Second)
 		c.Check(fl.settled(3), qt.IsTrue)
@@ -145,10 +145,10 @@
 	simulate(t, func(c *qt.C, fl *fleet) {
 		fl.startAll("abc", 3)
 		old := fl.leader("b")
-		before := fl.store.total()
+		before := fl.store.Total()
 		fl.crash(old)
 		took := fl.until(8*time.Second, "successor with the leases of the others", fl.shares("b", 2, 3))
-		c.Logf("successor in force after %v with %d platform calls", took, fl.store.total()-before)
+		c.Logf("successor in force after %v with %d platform calls", took, fl.store.Total()-before)
 		_, confirmed := fl.nodes[fl.leader("b")].Coordinator()
 		c.Check(confirmed, qt.IsTrue)
 		fl.start(old)
@@ -164,7 +164,7 @@
 		old := fl.leader("b")
 		// Its write of a table with a new member is on the way when it pauses,
 		// and arrives after the successor's.
-		fl.store.freeze(old)
+		fl.store.Freeze(old)
 		fl.start("b4")
 		fl.run(time.Second)
 		fl.links.freeze(old)
@@ -193,11 +193,11 @@
 
 func (fl *fleet) freeze(name string) {
 	fl.links.freeze(name)
-	fl.store.freeze(name)
+	fl.store.Freeze(name)
 }
 
 func (fl *fleet) thaw(name string) {
-	fl.store.thaw(name)
+	fl.store.Thaw(name)
 	fl.links.thaw(name)
 }
 
@@ -210,7 +210,7 @@
 		// Accepted immediately before the outage, when a coordinator has seen it.
 		fl.accept(2)
 		fl.until(time.Second, "seen by one daemon", func() bool { return fl.nodes[fl.leader("a")].Configuration().Version == 2 })
-		fl.store.outage(true)
+		fl.store.Outage(true)
 		fl.until(2*time.Second, "the change reaches all", fl.allHave(2))
 		for range 60 {
 			fl.run(time.Second)
@@ -221,7 +221,7 @@
 		for name, n := range fl.nodes {
 			c.Check(n.Isolated(time.Now()), qt.IsFalse, qt.Commentf(name))
 		}
-		fl.store.outage(false)
+		fl.store.Outage(false)
 		fl.accept(3)
 		fl.until(15*time.Second, "changes are accepted again", fl.allHave(3))
 		fl.run(20 * time.Second)
@@ -234,16 +234,16 @@
 func TestCallsAfterOutage(t *testing.T) {
 	simulate(t, func(c *qt.C, fl *fleet) {
 		fl.startAll("abc", 3)
-		fl.store.outage(true)
-		before := fl.store.total()
+		fl.store.Outage(true)
+		before := fl.store.Total()
 		fl.run(time.Minute)
-		calls := fl.store.total() - before
+		calls := fl.store.Total() - before
 		c.Log("platform calls of 9 daemons in a minute of outage:", calls)
 		c.Check(calls <= 60, qt.IsTrue)
-		before = fl.store.total()
-		fl.store.outage(false)
+		before = fl.store.Total()
+		fl.store.Outage(false)
 		fl.run(10 * time.Second)
-		calls = fl.store.total() - before
+		calls = fl.store.Total() - before
 		c.Log("platform calls of 9 daemons in the first 10 s after an outage:", calls)
 		// A coordinator regains its lease with 4 calls, reads and writes its
 		// table with 3, watches with 3 and renews its lease every 1.7 s.
@@ -256,7 +256,7 @@
 	simulate(t, func(c *qt.C, fl *fleet) {
 		fl.accept(1)
 		fl.startAll("abc", 3)
-		fl.store.outage(true)
+		fl.store.Outage(true)
 		fl.run(20 * time.Second)
 		old := fl.leader("b")
 		fl.crash(old)
@@ -274,7 +274,7 @@
 		})
 		m, _ := fl.nodes["a1"].View().Find("b5")
 		c.Check(m.Counted, qt.IsFalse)
-		fl.store.outage(false)
+		fl.store.Outage(false)
 		fl.until(20*time.Second, "confirmed after the outage", func() bool {
 			_, confirmed := fl.nodes["b5"].Coordinator()
 			return confirmed && len(fl.leaders("b")) == 1
@@ -286,10 +286,10 @@
 // lost response.
 func TestLostResponse(t *testing.T) {
 	simulate(t, func(c *qt.C, fl *fleet) {
-		fl.store.loseResponses(1)
+		fl.store.LoseResponses(1)
 		fl.start("a1")
 		fl.until(5*time.Second, "coordinator", func() bool { return fl.leader("a") == "a1" })
-		c.Check(fl.store.count("grant"), qt.Equals, 1)
+		c.Check(fl.store.Count("grant"), qt.Equals, 1)
 	})
 }
 
@@ -298,18 +298,18 @@
 	simulate(t, func(c *qt.C, fl *fleet) {
 		fl.accept(1)
 		fl.startAll("a", 1)
-		fl.store.outage(true)
+		fl.store.Outage(true)
 		fl.run(time.Second)
 		fl.accept(2)
-		fl.store.compactAll()
-		fl.store.outage(false)
+		fl.store.CompactAll()
+		fl.store.Outage(false)
 		fl.until(10*time.Second, "version after the compaction", fl.allHave(2))
 		fl.run(20 * time.Second)
-		before := fl.store.count("watch")
+		before := fl.store.Count("watch")
 		fl.accept(3)
 		fl.until(time.Second, "watched version", fl.allHave(3))
 		fl.run(20 * time.Second)
-		c.Check(fl.store.count("watch"), qt.Equals, before)
+		c.Check(fl.store.Count("watch"), qt.Equals, before)
 	})
 }
 
@@ -317,11 +317,11 @@
 func TestFencing(t *testing.T) {
 	simulate(t, func(c *qt.C, fl *fleet) {
 		fl.startAll("a", 2)
-		old, table := fl.leader("a"), fl.store.entry("rattanline/domains/a")
-		fl.store.put("rattanline/coordinators/a", []byte(`{"name":"a9","failure-domain":"a","link-address":"a9:1"}`))
+		old, table := fl.leader("a"), fl.store.Entry("rattanline/domains/a")
+		fl.store.Put("rattanline/coordinators/a", []byte(`{"name":"a9","failure-domain":"a","link-address":"a9:1"}`))
 		fl.start("a3")
 		fl.until(2*time.Second, "no coordinator", func() bool { return fl.leader("a") != old })
-		c.Check(fl.store.entry("rattanline/domains/a").Revision, qt.Equals, table.Revision)
+		c.Check(fl.store.Entry("rattanline/domains/a").Revision, qt.Equals, table.Revision)
 	})
 }
 
@@ -330,9 +330,9 @@
 	simulate(t, func(c *qt.C, fl *fleet) {
 		fl.startAll("a", 9)
 		fl.crash(fl.leader("a"))
-		before := fl.store.total()
+		before := fl.store.Total()
 		fl.until(9*time.Second, "successor", fl.shares("a", 8, 9))
-		calls := fl.store.total() - before
+		calls := fl.store.Total() - before
 		c.Log("platform calls of 8 daemons that lost their coordinator:", calls)
 		c.Check(calls <= 25, qt.IsTrue)
 	})
--- a/coordinator/store_test.go
+++ b/simulation/keyvalue.go
@@ -1,4 +1,6 @@
-package coordinator
+// Package simulation holds in-memory fakes of the ports for tests in virtual
+// time, where real sockets would keep time from advancing.
+package simulation
 
 import (
 	"context"
@@ -9,9 +11,9 @@
 	"rattanline.example/rattanline/port"
 )
 
-// store is an in-memory key-value service with leases, watches, outages, lost
+// KeyValue is an in-memory key-value service with leases, watches, outages, lost
 // responses and a count of calls.
-type store struct {
+type KeyValue struct {
 	mu       sync.Mutex
 	revision int64
 	entries  map[string]port.Entry
@@ -34,17 +36,19 @@
 	expires time.Time
 }
 
-func newStore() *store {
-	return &store{
+// NewKeyValue returns an empty service.
+func NewKeyValue() *KeyValue {
+	return &KeyValue{
 		revision: 1, entries: map[string]port.Entry{}, leases: map[int64]lease{}, keys: map[string]int64{},
 		changed: make(chan struct{}), closed: make(chan struct{}), blocked: map[string]bool{},
 		frozen: map[string]chan struct{}{}, calls: map[string]int{},
 	}
 }
 
-func (s *store) close() { close(s.closed) }
+// Close ends all watches, so that a test can end.
+func (s *KeyValue) Close() { close(s.closed) }
 
-func (s *store) set(f func()) {
+func (s *KeyValue) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f()
@@ -52,38 +56,50 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) outage(down bool)          { s.set(func() { s.down = down }) }
-func (s *store) block(name string, b bool) { s.set(func() { s.blocked[name] = b }) }
-func (s *store) loseResponses(n int)       { s.set(func() { s.lose = n }) }
-func (s *store) compactAll()               { s.set(func() { s.compact, s.events = s.revision, nil }) }
+// Outage starts or ends an outage of the service.
+func (s *KeyValue) Outage(down bool) { s.set(func() { s.down = down }) }
 
-func (s *store) put(key string, value []byte) {
+// Block cuts one daemon off, or connects it again.
+func (s *KeyValue) Block(name string, b bool) { s.set(func() { s.blocked[name] = b }) }
+
+// LoseResponses loses the responses of the next n commits, which take effect.
+func (s *KeyValue) LoseResponses(n int) { s.set(func() { s.lose = n }) }
+
+// CompactAll forgets all events, so that watches must start again.
+func (s *KeyValue) CompactAll() { s.set(func() { s.compact, s.events = s.revision, nil }) }
+
+// Put writes a key as another program would.
+func (s *KeyValue) Put(key string, value []byte) {
 	s.set(func() { s.apply(port.Write{Key: key, Value: value}) })
 }
 
-// freeze makes the calls of a daemon wait until thaw.
-func (s *store) freeze(name string) { s.set(func() { s.frozen[name] = make(chan struct{}) }) }
+// Freeze makes the calls of a daemon wait until Thaw.
+func (s *KeyValue) Freeze(name string) { s.set(func() { s.frozen[name] = make(chan struct{}) }) }
 
-func (s *store) thaw(name string) {
+// Thaw lets the calls of a frozen daemon go on.
+func (s *KeyValue) Thaw(name string) {
 	s.set(func() {
 		close(s.frozen[name])
 		delete(s.frozen, name)
 	})
 }
 
-func (s *store) count(kind string) int {
+// Count returns the number of calls of a kind.
+func (s *KeyValue) Count(kind string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.calls[kind]
 }
 
-func (s *store) entry(key string) port.Entry {
+// Entry returns a key without counting a call.
+func (s *KeyValue) Entry(key string) port.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.entries[key]
 }
 
-func (s *store) total() int {
+// Total returns the number of calls of all kinds.
+func (s *KeyValue) Total() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sum := 0
@@ -93,7 +109,7 @@
 	return sum
 }
 
-func (s *store) apply(w port.Write) {
+func (s *KeyValue) apply(w port.Write) {
 	s.revision++
 	e := port.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
 	if w.Delete {
@@ -106,7 +122,7 @@
 }
 
 // expire ends leases that are due. They don't expire during an outage.
-func (s *store) expire(now time.Time) {
+func (s *KeyValue) expire(now time.Time) {
 	for id, l := range s.leases {
 		if now.Before(l.expires) {
 			continue
@@ -115,7 +131,7 @@
 	}
 }
 
-func (s *store) drop(id int64) {
+func (s *KeyValue) drop(id int64) {
 	delete(s.leases, id)
 	for key, owner := range s.keys {
 		if _, ok := s.entries[key]; ok && owner == id {
@@ -124,17 +140,17 @@
 	}
 }
 
-// client is one daemon's connection.
-type client struct {
-	store *store
-	name  string
+// Client is one daemon's connection.
+type Client struct {
+	Store *KeyValue
+	Name  string // of the daemon
 }
 
-func (c *client) do(ctx context.Context, kind string, f func(s *store)) error {
-	s := c.store
+func (c *Client) do(ctx context.Context, kind string, f func(s *KeyValue)) error {
+	s := c.Store
 	s.mu.Lock()
 	s.calls[kind]++
-	frozen, down := s.frozen[c.name], s.down || s.blocked[c.name]
+	frozen, down := s.frozen[c.Name], s.down || s.blocked[c.Name]
 	s.mu.Unlock()
 	if frozen != nil {
 		// A call of a frozen daemon takes effect when it resumes, even if its
@@ -162,13 +178,15 @@
 	return ctx.Err()
 }
 
-func (c *client) Get(ctx context.Context, key string) (e port.Entry, err error) {
-	err = c.do(ctx, "get", func(s *store) { e = s.entries[key] })
+// Get implements port.KeyValue.
+func (c *Client) Get(ctx context.Context, key string) (e port.Entry, err error) {
+	err = c.do(ctx, "get", func(s *KeyValue) { e = s.entries[key] })
 	return e, err
 }
 
-func (c *client) List(ctx context.Context, prefix string) (es []port.Entry, err error) {
-	err = c.do(ctx, "list", func(s *store) {
+// List implements port.KeyValue.
+func (c *Client) List(ctx context.Context, prefix string) (es []port.Entry, err error) {
+	err = c.do(ctx, "list", func(s *KeyValue) {
 		for key, e := range s.entries {
 			if strings.HasPrefix(key, prefix) {
 				es = append(es, e)
@@ -178,8 +196,9 @@
 	return es, err
 }
 
-func (c *client) Commit(ctx context.Context, t port.Transaction) (r port.Result, err error) {
-	err = c.do(ctx, "commit", func(s *store) {
+// Commit implements port.KeyValue.
+func (c *Client) Commit(ctx context.Context, t port.Transaction) (r port.Result, err error) {
+	err = c.do(ctx, "commit", func(s *KeyValue) {
 		r = port.Result{Committed: true, Revision: s.revision}
 		for _, cond := range t.Conditions {
 			if s.entries[cond.Key].Revision != cond.Revision {
@@ -202,8 +221,9 @@
 	return r, nil
 }
 
-func (c *client) GrantLease(ctx context.Context, ttl time.Duration) (id int64, err error) {
-	err = c.do(ctx, "grant", func(s *store) {
+// GrantLease implements port.KeyValue.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (id int64, err error) {
+	err = c.do(ctx, "grant", func(s *KeyValue) {
 		s.next++
 		id = s.next
 		s.leases[id] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
@@ -211,8 +231,9 @@
 	return id, err
 }
 
-func (c *client) RenewLease(ctx context.Context, id int64) (ttl time.Duration, err error) {
-	err = c.do(ctx, "renew", func(s *store) {
+// RenewLease implements port.KeyValue.
+func (c *Client) RenewLease(ctx context.Context, id int64) (ttl time.Duration, err error) {
+	err = c.do(ctx, "renew", func(s *KeyValue) {
 		if l, ok := s.leases[id]; ok {
 			s.leases[id] = lease{ttl: l.ttl, expires: time.Now().Add(l.ttl)}
 			ttl = l.ttl
@@ -221,16 +242,18 @@
 	return ttl, err
 }
 
-func (c *client) RevokeLease(ctx context.Context, id int64) error {
-	return c.do(ctx, "revoke", func(s *store) { s.drop(id) })
+// RevokeLease implements port.KeyValue.
+func (c *Client) RevokeLease(ctx context.Context, id int64) error {
+	return c.do(ctx, "revoke", func(s *KeyValue) { s.drop(id) })
 }
 
-func (c *client) Watch(ctx context.Context, prefix string, after int64, handle func(port.Event)) error {
-	if err := c.do(ctx, "watch", func(*store) {}); err != nil {
+// Watch implements port.KeyValue.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, handle func(port.Event)) error {
+	if err := c.do(ctx, "watch", func(*KeyValue) {}); err != nil {
 		return err
 	}
 	for {
-		s := c.store
+		s := c.Store
 		s.mu.Lock()
 		var due []port.Event
 		for _, e := range s.events {
@@ -238,7 +261,7 @@
 				due = append(due, e)
 			}
 		}
-		broken, compacted, changed := s.down || s.blocked[c.name], s.compact > after && len(due) == 0, s.changed
+		broken, compacted, changed := s.down || s.blocked[c.Name], s.compact > after && len(due) == 0, s.changed
 		after = s.revision
 		s.mu.Unlock()
 		if broken {
@@ -260,4 +283,4 @@
 	}
 }
 
-var _ port.KeyValue = (*client)(nil)
+var _ port.KeyValue = (*Client)(nil)
