Name the end of an attempt apart from the end of a request

Cause: the events request-ended and request-finished read alike.

Result: go test ./session ./dispatch passes.

--- a/dispatch/assignment.go
+++ b/dispatch/assignment.go
@@ -48,7 +48,7 @@
 		d.learnDuration(a.job.Service, t.Total)
 	}
 	d.observeEnd(a.target.Name, t)
-	d.record("request-ended", a.job.RequestID, a.job.Account, a.target.Name, string(t.Result))
+	d.record("attempt-ended", a.job.RequestID, a.job.Account, a.target.Name, string(t.Result))
 	d.holder.End(now, a.slot)
 	d.keepOrReturn(now, a.slot, a.job.Service)
 	d.assign(now, a.job.Service)
