--- a/capacity/cell.go
+++ b/capacity/cell.go
@@ -42,6 +42,8 @@
 	Targets  int
 	// Idle leaves all accounts without requests.
 	Idle bool
+	// Interval is that of heartbeats and exchanges.
+	Interval time.Duration
 }
 
 // Cost is what a cell was measured to cost. Values are for each daemon unless
@@ -77,7 +79,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	nodes := make([]*node, c.Daemons)
 	for i := range nodes {
-		n, err := newNode(fmt.Sprint("daemon-", i), domainName(i%c.Domains), url, func(string) float64 { return 1 })
+		n, err := newNode(fmt.Sprint("daemon-", i), domainName(i%c.Domains), url, c.Interval, func(string) float64 { return 1 })
 		if err != nil {
 			return Cost{}, fmt.Errorf("start daemon: %w", err)
 		}
--- a/capacity/command.go
+++ b/capacity/command.go
@@ -31,7 +31,7 @@
 
 // Command returns the subcommand that measures the cost of control.
 func Command() *cobra.Command {
-	var settle, duration time.Duration
+	var settle, duration, interval time.Duration
 	var path, only string
 	var idle bool
 	c := &cobra.Command{
@@ -50,7 +50,7 @@
 				var measured []Cost
 				for _, v := range s.values {
 					cell := s.with(base, v)
-					cell.Idle = idle
+					cell.Idle, cell.Interval = idle, interval
 					cost, err := Measure(c.Context(), cell, settle, duration)
 					if err != nil {
 						return fmt.Errorf("measure %s %d: %w", s.name, v, err)
@@ -67,6 +67,7 @@
 	}
 	c.Flags().DurationVar(&settle, "settle", 10*time.Second, "time before each measurement")
 	c.Flags().DurationVar(&duration, "duration", 8*time.Second, "time of each measurement")
+	c.Flags().DurationVar(&interval, "interval", 200*time.Millisecond, "time between heartbeats and exchanges")
 	c.Flags().StringVar(&path, "csv", "", "file for the figures as CSV")
 	c.Flags().StringVar(&only, "only", "", "measure only this size: daemons, accounts, targets or domains")
 	c.Flags().BoolVar(&idle, "idle", false, "without requests")
--- a/capacity/node.go
+++ b/capacity/node.go
@@ -34,7 +34,7 @@
 }
 
 // newNode opens the link of a node; peers are those started before it.
-func newNode(name, domain, platformURL string, shares func(string) float64) (*node, error) {
+func newNode(name, domain, platformURL string, interval time.Duration, shares func(string) float64) (*node, error) {
 	n := &node{name: name, metrics: metrics.NewSet()}
 	n.server = &link.Server{Address: "127.0.0.1:0", Logger: zerolog.Nop(), Metrics: n.metrics}
 	if err := n.server.Listen(); err != nil {
@@ -47,12 +47,13 @@
 	platform := etcd.New(platformURL)
 	platform.Metrics = n.metrics
 	n.member = &coordinator.Node{
-		Self: self, KeyValue: platform, Link: n.client, Ledger: ledger, Logger: zerolog.Nop(),
+		Self: self, KeyValue: platform, Link: n.client, Ledger: ledger, Logger: zerolog.Nop(), Interval: interval,
 		ConfigurationKey: submission.Key, DecodeConfiguration: submission.Decode,
 	}
 	n.dispatch = &dispatch.Dispatcher{
 		Self: source, Domain: domain, Address: n.server.Addr(), Ledger: ledger, Link: n.client, Metrics: n.metrics,
 		View: n.member.View, Authority: n.member.Authority, Configuration: n.member.Configuration,
+		Times:    dispatch.Times{ExchangeInterval: interval},
 		NewLimit: func(t config.Target) dispatch.Limit { return limit.New(t.MaxLimit, t.MaxLimit) },
 	}
 	for name, receiver := range map[string]any{
