--- a/config/document.go
+++ b/config/document.go
@@ -82,7 +82,8 @@
 	MaxLimit int `yaml:"max-limit" json:"max-limit"`
 	// Leaving marks a target that gets no new work.
 	Leaving bool `yaml:"leaving,omitempty" json:"leaving,omitempty"`
-	// ChecksFencing tells that it rejects commands with an old fencing token.
+	// ChecksFencing tells that it rejects commands with an old fencing token. It
+	// has no effect yet, because no commands are sent to targets.
 	ChecksFencing bool `yaml:"checks-fencing,omitempty" json:"checks-fencing,omitempty"`
 }
 
