Name the unit of the setting slack

Cause: the reference said normalised cost; the dispatcher takes it in mean requests of the service and adds what the exchange doesn't show yet.

--- a/setting/table.go
+++ b/setting/table.go
@@ -112,7 +112,7 @@
 	},
 
 	{
-		"slack", "2", "normalised cost", "how far above the floor a holder keeps a slot", false,
+		"slack", "2", "mean requests", "how far above the floor a holder keeps a slot, besides what the exchange does not show yet", false,
 		number(func(s *Settings) *float64 { return &s.Slack }, 0, 1e12),
 	},
 	{
