--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,177 @@
+// Package admission decides which requests are refused at once while the
+// targets have more work than they can do in time. What is served is shared
+// among the client accounts by max-min fairness over the whole fleet.
+package admission
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"rattanline.example/rattanline/clock"
+)
+
+const (
+	// rateTime is the time constant of the rates.
+	rateTime = 1500 * time.Millisecond
+	// forgetTime is how long an account without requests is remembered.
+	forgetTime = 15 * time.Second
+	// easyPressure is the part of the latency aim up to which the expected wait
+	// refuses nobody.
+	easyPressure = 0.8
+	// maxPressure is the expected wait in latency aims above which everybody is
+	// refused.
+	maxPressure = 3.0
+	// shareSlack is how far above its share an account is served before it is
+	// refused: rates of a few requests vary.
+	shareSlack = 1.05
+)
+
+// Rate is the work of an account per second.
+type Rate struct{ Asked, Served float64 }
+
+// Control holds the rates of one daemon. The zero value is ready, the exported
+// fields are set before the first call. It is safe for concurrent use.
+type Control struct {
+	// Others returns the rates of the other daemons, summed by account.
+	Others func() map[string]Rate
+
+	mu       sync.Mutex
+	accounts map[string]*account
+}
+
+type account struct {
+	asked, served meter
+	seen          clock.Instant
+}
+
+// meter is a rate that decays exponentially.
+type meter struct {
+	rate float64
+	at   clock.Instant
+}
+
+func (m *meter) add(now clock.Instant, work float64) {
+	m.rate = m.now(now) + work/rateTime.Seconds()
+	m.at = now
+}
+
+func (m *meter) now(now clock.Instant) float64 {
+	return m.rate * math.Exp(-now.Sub(m.at).Seconds()/rateTime.Seconds())
+}
+
+// Question describes a request that could be sent.
+type Question struct {
+	Account string
+	Work    float64
+	// Wait is the expected time to the first event at the best target, Aim the
+	// time within which it earns its full worth, Timeout the time that it has.
+	Wait, Aim, Timeout time.Duration
+}
+
+// Answer tells whether to send the request, and what the decision was based on.
+type Answer struct {
+	Admitted bool
+	// RetryAfter is when there is expected to be room.
+	RetryAfter time.Duration
+	// Pressure is the expected wait in aims, Served what the account gets and
+	// Share what it may get, both in work per second.
+	Pressure, Served, Share float64
+}
+
+// Decide counts the request and tells whether to send it.
+func (c *Control) Decide(now clock.Instant, q Question) Answer {
+	others := c.Others()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.account(now, q.Account)
+	a.asked.add(now, q.Work)
+	answer := Answer{Admitted: true, Pressure: q.Wait.Seconds() / max(q.Aim.Seconds(), 0.001)}
+	if answer.Pressure > easyPressure {
+		answer.Share = c.share(now, others)
+		answer.Served = a.served.now(now) + others[q.Account].Served
+		switch {
+		case answer.Pressure > maxPressure || q.Wait > q.Timeout*2/3:
+			answer.Admitted = false
+		case answer.Served > answer.Share*shareSlack:
+			answer.Admitted = false
+		}
+	}
+	if answer.Admitted {
+		a.served.add(now, q.Work)
+		return answer
+	}
+	answer.RetryAfter = min(max(q.Wait-q.Aim/2, 100*time.Millisecond), 2*time.Second)
+	return answer
+}
+
+// Withdraw takes back an admitted request that no target ran.
+func (c *Control) Withdraw(now clock.Instant, name string, work float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := c.accounts[name]; a != nil {
+		a.served.rate = max(a.served.now(now)-work/rateTime.Seconds(), 0)
+		a.served.at = now
+	}
+}
+
+func (c *Control) account(now clock.Instant, name string) *account {
+	if c.accounts == nil {
+		c.accounts = map[string]*account{}
+	}
+	a := c.accounts[name]
+	if a == nil {
+		a = &account{}
+		c.accounts[name] = a
+	}
+	a.seen = now
+	return a
+}
+
+// share returns the level up to which each account is served, such that the
+// accounts together get what is served now.
+func (c *Control) share(now clock.Instant, others map[string]Rate) float64 {
+	total := 0.0
+	asked := make([]float64, 0, len(c.accounts)+len(others))
+	for name, a := range c.accounts {
+		o := others[name]
+		asked = append(asked, a.asked.now(now)+o.Asked)
+		total += a.served.now(now) + o.Served
+	}
+	for name, o := range others {
+		if c.accounts[name] == nil {
+			asked = append(asked, o.Asked)
+			total += o.Served
+		}
+	}
+	return Level(asked, total)
+}
+
+// Level returns the level at which the demands, each cut to it, sum up to the
+// capacity; infinity if they don't reach it.
+func Level(demands []float64, capacity float64) float64 {
+	slices.Sort(demands)
+	for i, d := range demands {
+		if left := float64(len(demands) - i); d*left > capacity {
+			return capacity / left
+		}
+		capacity -= d
+	}
+	return math.Inf(1)
+}
+
+// Rates returns the rates of this daemon, and forgets idle accounts.
+func (c *Control) Rates(now clock.Instant) map[string]Rate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rates := make(map[string]Rate, len(c.accounts))
+	for name, a := range c.accounts {
+		if now.Sub(a.seen) > forgetTime {
+			delete(c.accounts, name)
+			continue
+		}
+		rates[name] = Rate{Asked: math.Round(a.asked.now(now)), Served: math.Round(a.served.now(now))}
+	}
+	return rates
+}
--- a/config/document.go
+++ b/config/document.go
@@ -13,6 +13,9 @@
 	Services       []Service       `yaml:"services" json:"services"`
 	FailureDomains []FailureDomain `yaml:"failure-domains" json:"failure-domains"`
 	Targets        []Target        `yaml:"targets" json:"targets"`
+	// Routes and Limits are set where callers choose a service by host and path.
+	Routes []Route `yaml:"routes,omitempty" json:"routes,omitempty"`
+	Limits Limits  `yaml:"limits,omitempty" json:"limits,omitzero"`
 }
 
 // Account is a client account and its fair share of the common capacity.
@@ -26,6 +29,8 @@
 	MaxQueued int `yaml:"max-queued,omitempty" json:"max-queued,omitempty"`
 	// MaxQueuedBytes bounds their bodies; zero means 16 MiB.
 	MaxQueuedBytes int64 `yaml:"max-queued-bytes,omitempty" json:"max-queued-bytes,omitempty"`
+	// Priority goes before that of a route; nil means that the route's counts.
+	Priority *int `yaml:"priority,omitempty" json:"priority,omitempty"`
 }
 
 // Kind tells how the requests of a service are carried.
@@ -59,6 +64,8 @@
 	NotRunStatuses []int `yaml:"not-run-statuses,omitempty" json:"not-run-statuses,omitempty"`
 	// Resume tells that its engines resume a stream after a given event id.
 	Resume bool `yaml:"resume,omitempty" json:"resume,omitempty"`
+	// Connection bounds the traffic to each of its targets.
+	Connection Connection `yaml:"connection,omitempty" json:"connection,omitzero"`
 }
 
 // FailureDomain is a zone that fails, or is taken out of service, as a whole.
--- a/config/index.go
+++ b/config/index.go
@@ -19,6 +19,7 @@
 	byService map[string][]Target
 	seed      maphash.Seed
 	byKey     map[uint64][]keyEntry
+	routes    map[string]map[string]Route // by host and path prefix
 }
 
 type keyEntry struct {
@@ -37,6 +38,13 @@
 		byService: make(map[string][]Target, len(d.Services)),
 		seed:      maphash.MakeSeed(),
 		byKey:     make(map[uint64][]keyEntry, len(d.Accounts)),
+		routes:    map[string]map[string]Route{},
+	}
+	for _, r := range d.Routes {
+		if x.routes[r.Host] == nil {
+			x.routes[r.Host] = map[string]Route{}
+		}
+		x.routes[r.Host][r.PathPrefix] = r
 	}
 	for _, a := range d.Accounts {
 		x.accounts[a.Name] = a.WithDefaults()
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"rattanline.example/rattanline/edge"
 	"rattanline.example/rattanline/setting"
 )
 
@@ -46,6 +47,13 @@
 	}
 	c.Flags().StringVar(&path, "settings", "", "settings file in YAML")
 	_ = c.MarkFlagRequired("settings")
+	machine := edge.Command(stdout)
+	machineRun := machine.RunE
+	machine.RunE = func(c *cobra.Command, args []string) error {
+		entered = true
+		return machineRun(c, args)
+	}
+	c.AddCommand(machine)
 	c.SetArgs(args)
 	c.SetOut(stdout)
 	c.SetErr(stderr)
--- /dev/null
+++ b/edge/command.go
@@ -0,0 +1,94 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"github.com/spf13/cobra"
+
+	"rattanline.example/rattanline/platform"
+)
+
+const (
+	// logLines bounds the lines that wait to be written; more are dropped and
+	// counted, so that logging never delays a request.
+	logLines = 4096
+	// heapPart is the part of the machine's memory, in percent, from which on the
+	// garbage collector works harder.
+	heapPart = 55
+)
+
+// Command returns the command that runs a daemon on one of the platform's
+// machines.
+func Command(stdout io.Writer) *cobra.Command {
+	metricsPort := 0
+	c := &cobra.Command{
+		Use:   "machine",
+		Short: "Run a daemon on a machine of the platform",
+		Long: "Runs a daemon with the settings file that the environment variable " + platform.SettingsVariable +
+			" names.\nLogs are JSON lines on the standard output.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return run(c.Context(), stdout, metricsPort) },
+	}
+	c.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the machine's address that serves /metrics; 0 for none")
+	return c
+}
+
+func run(ctx context.Context, stdout io.Writer, metricsPort int) error {
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * heapPart / 100)
+	writer := diode.NewWriter(stdout, logLines, 0, func(missed int) { droppedLines.Add(missed) })
+	defer func() { _ = writer.Close() }()
+	logger := zerolog.New(writer).With().Timestamp().Str("daemon", settings.Name).
+		Str("failure-domain", settings.FailureDomain).Logger()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d := &Daemon{Settings: settings, Logger: logger}
+	if metricsPort > 0 {
+		d.MetricsAddress = net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort))
+	}
+	go d.watch(ctx, cancel, signals, path)
+	if err := d.Run(ctx); err != nil {
+		return fmt.Errorf("run daemon: %w", err)
+	}
+	return nil
+}
+
+// settingsInterval is the pause between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = 2 * time.Second
+
+// watch handles signals and changes of the settings file.
+func (d *Daemon) watch(ctx context.Context, cancel context.CancelFunc, signals <-chan os.Signal, path string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			d.Logger.Info().Str("signal", s.String()).Msg("signal received")
+			if s != syscall.SIGHUP {
+				cancel()
+				return
+			}
+			d.reload(path)
+		case <-time.After(settingsInterval):
+			d.reload(path)
+		}
+	}
+}
--- /dev/null
+++ b/edge/fleet.go
@@ -0,0 +1,150 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rattanline.example/rattanline/admission"
+	"rattanline.example/rattanline/clock"
+	"rattanline.example/rattanline/exchange"
+	"rattanline.example/rattanline/placement"
+	"rattanline.example/rattanline/platform"
+)
+
+const (
+	// settleTime is how long after its start a daemon learns of the others before
+	// it sends to cold targets.
+	settleTime = 1500 * time.Millisecond
+	// reportTime is how long a peer's report counts.
+	reportTime = 1500 * time.Millisecond
+	// retryPart is the part of the retry budget that daemons use, because their
+	// windows are counted apart.
+	retryPart = 0.8
+	// addressTime is how long callers keep the addresses they were told.
+	addressTime = time.Second
+	// maxAddresses bounds the addresses in one answer.
+	maxAddresses = 64
+	// zoneQuorum is the number of ready daemons from which on a failure domain
+	// serves its callers alone.
+	zoneQuorum = 2
+)
+
+func (d *Daemon) age() time.Duration { return d.mirror.Age(clock.Now()) }
+
+// ready tells whether callers may connect.
+func (d *Daemon) ready() bool {
+	return !d.leaving.Load() && d.mirror.View().Index != nil && (d.handler.KeyAge == 0 || d.age() <= d.handler.KeyAge)
+}
+
+// daemons returns the names of all daemons that may send to targets.
+func (d *Daemon) daemons() []string {
+	now := clock.Now()
+	if now.Sub(d.started) < settleTime {
+		return nil
+	}
+	names := map[string]bool{d.self.Name: true}
+	for name := range d.mirror.View().Members {
+		names[name] = true
+	}
+	for _, p := range d.exchange.Peers() {
+		names[p.Message.Name] = true
+	}
+	list := make([]string, 0, len(names))
+	for name := range names {
+		list = append(list, name)
+	}
+	return list
+}
+
+func (d *Daemon) othersWork() map[string]placement.Work {
+	now := clock.Now()
+	sum := map[string]placement.Work{}
+	for _, p := range d.exchange.Peers() {
+		if now.Sub(p.Heard) > reportTime {
+			continue
+		}
+		for name, w := range p.Message.Report.Targets {
+			s := sum[name]
+			sum[name] = placement.Work{Requests: s.Requests + w.Requests, Prompt: s.Prompt + w.Prompt}
+		}
+	}
+	return sum
+}
+
+func (d *Daemon) othersRates() map[string]admission.Rate {
+	now := clock.Now()
+	sum := map[string]admission.Rate{}
+	for _, p := range d.exchange.Peers() {
+		if now.Sub(p.Heard) > reportTime {
+			continue
+		}
+		for name, r := range p.Message.Report.Accounts {
+			s := sum[name]
+			sum[name] = admission.Rate{Asked: s.Asked + r.Asked, Served: s.Served + r.Served}
+		}
+	}
+	return sum
+}
+
+func (d *Daemon) report() exchange.Report {
+	r := exchange.Report{Accounts: map[string]exchange.AccountRate{}, Targets: map[string]exchange.Work{}}
+	for name, rate := range d.admission.Rates(clock.Now()) {
+		r.Accounts[name] = exchange.AccountRate(rate)
+	}
+	for name, w := range d.table.InFlight() {
+		r.Targets[name] = exchange.Work(w)
+	}
+	return r
+}
+
+func (d *Daemon) coldRate(service string) (float64, time.Duration) {
+	x := d.mirror.View().Index
+	if x == nil {
+		return 0, 0
+	}
+	s, _ := x.Service(service)
+	return s.Connection.ColdRate, s.Connection.ColdTime.Std()
+}
+
+// retrySlack returns this daemon's part of the retries that the fleet may make
+// without requests. It grows from zero after a start, because the daemon before
+// it may have used its part.
+func (d *Daemon) retrySlack() float64 {
+	up := clock.Now().Sub(d.started).Seconds() / max(d.Settings.RetryWindow.Seconds(), 1)
+	return d.Settings.RetrySlack * retryPart * min(up, 1) / float64(max(len(d.daemons()), 1))
+}
+
+// resolve returns the frontends of ready daemons, those of the caller's failure
+// domain if there are several.
+func (d *Daemon) resolve(q platform.Question) platform.Addresses {
+	now := clock.Now()
+	var near, all, living []string
+	add := func(address, domain string, ready, leaving bool) {
+		if leaving {
+			return
+		}
+		living = append(living, address)
+		if !ready {
+			return
+		}
+		all = append(all, address)
+		if domain == q.Domain {
+			near = append(near, address)
+		}
+	}
+	add(d.self.Frontend, d.self.Domain, d.ready(), d.leaving.Load())
+	for _, p := range d.exchange.Peers() {
+		if p.Live(now) {
+			add(p.Message.Frontend, p.Message.Domain, p.Message.Ready, p.Message.Leaving)
+		}
+	}
+	list := living
+	switch {
+	case len(near) >= zoneQuorum:
+		list = near
+	case len(all) > 0:
+		list = all
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return platform.Addresses{List: list[:min(len(list), maxAddresses)], Keep: addressTime}
+}
--- /dev/null
+++ b/exchange/message.go
@@ -0,0 +1,57 @@
+// Package exchange connects all daemons with each other: who lives and is
+// ready, what each client account asks and gets, the work each daemon has at
+// each target, and the crashes seen. Daemons that the key-value service can't be
+// reached from get its content this way.
+package exchange
+
+import (
+	"time"
+
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/quarantine"
+)
+
+// Service is the name of the receiver of calls.
+const Service = "Exchange"
+
+// Message is what one daemon tells another, in a call and in its reply.
+type Message struct {
+	Name        string
+	Incarnation string
+	Link        string
+	Frontend    string
+	Domain      string
+	// Ready daemons take callers; leaving ones finish what they have.
+	Ready, Leaving bool
+	// Revision is that of the copy of the key-value service, ProofAge how long
+	// ago the copy was known to be complete.
+	Revision int64
+	ProofAge time.Duration
+	// Want asks for the entries of the copy if they are newer than this.
+	Want bool
+	// Entries is the whole copy, in a reply to a call that wanted it.
+	Entries []port.Entry
+	Report  Report
+	Marks   []quarantine.Mark
+}
+
+// Report is the load of one daemon.
+type Report struct {
+	// Accounts holds the accounts with requests in the last seconds.
+	Accounts map[string]AccountRate
+	// Targets holds the work in flight by target name.
+	Targets map[string]Work
+}
+
+// AccountRate is the work of an account in cost per second.
+type AccountRate struct {
+	Asked  float64
+	Served float64
+}
+
+// Work is what one daemon has in flight at a target.
+type Work struct {
+	Requests int
+	// Prompt is the number of prompt tokens that aren't known to be read yet.
+	Prompt float64
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,188 @@
+package mirror
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"rattanline.example/rattanline/clock"
+	"rattanline.example/rattanline/port"
+)
+
+const (
+	// pollWait is how long the service holds one poll. The age of the proof that
+	// the copy is fresh reaches about this, so it stays well below the bounds on
+	// that age.
+	pollWait = time.Second
+	// retryDelay is the pause after a failed call.
+	retryDelay = 250 * time.Millisecond
+)
+
+// Mirror copies the key-value service. The exported fields are set before Run.
+type Mirror struct {
+	Poller port.Poller
+	// Decode reads an entry, nil if it tells nothing; Gone tells what the removal
+	// of a key means.
+	Decode func(port.Entry) (Fact, error)
+	Gone   func(key string) Fact
+	// Changed is called after each change with what it told.
+	Changed func(v *View, facts []Fact)
+	Logger  zerolog.Logger
+
+	mu   sync.Mutex // serialises changes
+	view atomic.Pointer[View]
+	// proven is when the copy was last known to be complete.
+	proven atomic.Int64
+	// contact is when the service last replied to this daemon itself.
+	contact   atomic.Int64
+	connected atomic.Bool
+}
+
+// View returns the present state, never nil.
+func (m *Mirror) View() *View {
+	if v := m.view.Load(); v != nil {
+		return v
+	}
+	return newView()
+}
+
+// Age returns how long ago the copy was known to be complete. The time counts
+// from before the question that proved it was asked.
+func (m *Mirror) Age(now clock.Instant) time.Duration {
+	return now.Sub(clock.Instant(m.proven.Load()))
+}
+
+// ContactAge returns how long ago the service last replied to this daemon.
+func (m *Mirror) ContactAge(now clock.Instant) time.Duration {
+	return now.Sub(clock.Instant(m.contact.Load()))
+}
+
+// Run copies until the context ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	after := int64(-1)
+	for ctx.Err() == nil {
+		asked := clock.Now()
+		next, err := m.step(ctx, after, asked)
+		if err == nil {
+			m.contact.Store(int64(asked))
+			m.prove(asked)
+			if !m.connected.Swap(true) {
+				m.Logger.Info().Str("dependency", "key-value").Int64("revision", next).Msg("dependency regained")
+			}
+			after = next
+			continue
+		}
+		if errors.Is(err, port.ErrCompacted) {
+			m.Logger.Warn().Int64("revision", after).Msg("history compacted, reading all again")
+			after = -1
+			continue
+		}
+		if m.connected.Swap(false) {
+			m.Logger.Warn().Err(err).Str("dependency", "key-value").Int64("revision", after).Msg("dependency lost")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryDelay):
+		}
+	}
+	return nil
+}
+
+func (m *Mirror) step(ctx context.Context, after int64, asked clock.Instant) (int64, error) {
+	if after < 0 {
+		entries, at, err := m.Poller.Snapshot(ctx)
+		if err != nil {
+			return after, err
+		}
+		m.replace(entries, at)
+		return at, nil
+	}
+	events, at, err := m.Poller.Poll(ctx, after, pollWait)
+	if err != nil {
+		return after, err
+	}
+	m.change(func(v *View, now clock.Instant) []Fact {
+		var facts []Fact
+		for _, e := range events {
+			if f := m.apply(v, e, now); f != nil {
+				facts = append(facts, f)
+			}
+		}
+		return facts
+	}, len(events) == 0)
+	return at, nil
+}
+
+func (m *Mirror) prove(asked clock.Instant) {
+	for {
+		old := m.proven.Load()
+		if int64(asked) <= old || m.proven.CompareAndSwap(old, int64(asked)) {
+			return
+		}
+	}
+}
+
+// change applies an update to a copy of the view. An idle update only prunes.
+func (m *Mirror) change(update func(*View, clock.Instant) []Fact, idle bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := clock.Now()
+	v := m.View()
+	if idle {
+		for _, t := range v.Targets {
+			if t.Removed != 0 && now.Sub(t.Removed) > removedMemory {
+				idle = false
+			}
+		}
+		if idle {
+			return
+		}
+	}
+	v = v.clone()
+	facts := update(v, now)
+	v.prune(now)
+	m.view.Store(v)
+	if len(facts) > 0 && m.Changed != nil {
+		m.Changed(v, facts)
+	}
+}
+
+// replace takes a complete set of entries, read at the revision or later.
+// Entries of the view that are missing and not newer are removed.
+func (m *Mirror) replace(entries []port.Entry, revision int64) {
+	m.change(func(v *View, now clock.Instant) []Fact {
+		var facts []Fact
+		present := map[string]bool{}
+		for _, e := range entries {
+			present[e.Key] = true
+			if f := m.apply(v, port.Event{Entry: e}, now); f != nil {
+				facts = append(facts, f)
+			}
+		}
+		for key, e := range v.entries {
+			if !present[key] && e.Revision <= revision {
+				if f := m.apply(v, port.Event{Entry: port.Entry{Key: key, Revision: max(revision, e.Revision+1)}, Deleted: true}, now); f != nil {
+					facts = append(facts, f)
+				}
+			}
+		}
+		v.Revision = max(v.Revision, revision)
+		return facts
+	}, false)
+}
+
+// Adopt takes what another daemon's copy held, with the age of its proof counted
+// from before it was asked. Without entries, the other copy has the same
+// revision.
+func (m *Mirror) Adopt(revision int64, entries []port.Entry, proven clock.Instant) {
+	if entries != nil && revision > m.View().Revision {
+		m.replace(entries, revision)
+	}
+	if m.View().Revision == revision {
+		m.prove(proven)
+	}
+}
--- /dev/null
+++ b/placement/choice.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rattanline.example/rattanline/clock"
+	"rattanline.example/rattanline/mirror"
+	"rattanline.example/rattanline/request"
+)
+
+const (
+	// readRate is the number of prompt tokens that an engine reads in a second.
+	readRate = 38_000
+	// requestTime is what each request in flight adds to the wait at an engine.
+	requestTime = 2 * time.Millisecond
+	// plainTime is the time of a request at a plain service.
+	plainTime = 15 * time.Millisecond
+	// remoteTime is what a target in another failure domain must be better by.
+	remoteTime = 4 * time.Millisecond
+	// removedTime is how long a target whose entry was removed is still used: the
+	// entry may have lapsed while the key-value service was away.
+	removedTime = 1100 * time.Millisecond
+	// removedPenalty puts such a target behind those that are listed.
+	removedPenalty = 150 * time.Millisecond
+	// loadTime is how long a told load counts.
+	loadTime = 600 * time.Millisecond
+)
+
+// Query describes a request that needs a target.
+type Query struct {
+	Service string
+	// Engine tells that the service's targets read prompts.
+	Engine bool
+	Demand request.Demand
+	// Avoid names targets that the request was sent to before.
+	Avoid []string
+}
+
+// Choice is the target chosen for a request.
+type Choice struct {
+	Target mirror.Target
+	// Wait is the expected time until the target begins to answer.
+	Wait time.Duration
+	// Prompt is the number of tokens that it has to read.
+	Prompt float64
+	// Cold tells that the target is cold.
+	Cold bool
+	// Candidates is the number of targets that could be used.
+	Candidates int
+}
+
+// Choose returns the target with the shortest expected wait. It returns false if
+// no target can be used, with the number of those that are listed at all.
+func (t *Table) Choose(q Query) (Choice, int, bool) {
+	now := clock.Now()
+	others := t.Work()
+	daemons := t.Daemons()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	usable, listed := t.usable(q, now)
+	if len(usable) == 0 {
+		return Choice{}, listed, false
+	}
+	home := homeOf(q, usable)
+	var best Choice
+	var bestTarget *target
+	var bestCost time.Duration
+	for _, g := range usable {
+		if now < t.coldEnd(g) && !t.mayWarm(g, now, daemons) {
+			continue
+		}
+		c := t.weigh(g, q, now, others[g.Name], g == home)
+		cost := c.Wait + t.penalty(g)
+		// Equal costs are frequent where nothing is in flight.
+		if bestTarget == nil || cost < bestCost || cost == bestCost && rand.IntN(2) == 0 {
+			best, bestTarget, bestCost = c, g, cost
+		}
+	}
+	if bestTarget == nil {
+		return Choice{}, listed, false
+	}
+	if best.Cold {
+		bestTarget.next = now.Add(t.coldSpacing(bestTarget, daemons))
+	}
+	best.Candidates = len(usable)
+	return best, listed, true
+}
+
+// usable returns the targets of the service to which requests may be sent. Those
+// that the request was sent to before are among them only if there is no other.
+func (t *Table) usable(q Query, now clock.Instant) ([]*target, int) {
+	var fresh, tried []*target
+	listed := 0
+	for _, g := range t.targets {
+		if g.Service != q.Service || !g.known || g.Leaving || t.domains[g.Domain].evacuated {
+			continue
+		}
+		if g.Removed != 0 && now.Sub(g.Removed) > removedTime {
+			continue
+		}
+		listed++
+		switch {
+		case now < g.down:
+		case slices.Contains(q.Avoid, g.Name):
+			tried = append(tried, g)
+		default:
+			fresh = append(fresh, g)
+		}
+	}
+	if len(fresh) == 0 {
+		return tried, listed
+	}
+	return fresh, listed
+}
+
+// homeOf returns the target that keeps the shared parts of the prompt: all
+// daemons pick the same by hashing, so that no message is needed.
+func homeOf(q Query, usable []*target) *target {
+	if !q.Engine || len(q.Demand.Parts) == 0 {
+		return nil
+	}
+	deepest := q.Demand.Parts[max(len(q.Demand.Parts)-2, 0)].ID
+	var home *target
+	var most uint64
+	for _, g := range usable {
+		if w := rank(deepest, g.Name); home == nil || w > most {
+			home, most = g, w
+		}
+	}
+	return home
+}
+
+func rank(key, name string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+func (t *Table) weigh(g *target, q Query, now clock.Instant, others Work, home bool) Choice {
+	c := Choice{Target: g.Target, Cold: now < t.coldEnd(g)}
+	requests := g.work.Requests + others.Requests
+	if !q.Engine {
+		slots := max(g.Slots, 1)
+		if now.Sub(g.loaded) < loadTime {
+			requests = max(requests, g.load.Running+g.load.Waiting)
+		}
+		c.Wait = plainTime * time.Duration(requests+1) / time.Duration(slots)
+		return c
+	}
+	kept := g.parts.kept(now, q.Demand.Parts)
+	if home {
+		kept = max(kept, shared(q.Demand.Parts))
+	}
+	c.Prompt = float64(max(q.Demand.Prompt-kept, 1))
+	backlog := g.work.Prompt + others.Prompt + c.Prompt
+	c.Wait = time.Duration(backlog/readRate*float64(time.Second)) + requestTime*time.Duration(requests)
+	return c
+}
+
+// shared returns the tokens of the parts that other requests may share.
+func shared(parts []request.Part) int {
+	tokens := 0
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+func (t *Table) penalty(g *target) time.Duration {
+	var p time.Duration
+	if g.Domain != t.Domain {
+		p += remoteTime
+	}
+	if g.Removed != 0 {
+		p += removedPenalty
+	}
+	return p
+}
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -133,6 +133,17 @@
 	return r.sorted()
 }
 
+// Recent returns the marks of crashes in the last time span.
+func (r *Registry) Recent(now time.Time, span time.Duration) []Mark {
+	var recent []Mark
+	for _, m := range r.Marks(now) {
+		if now.Sub(m.at()) <= span {
+			recent = append(recent, m)
+		}
+	}
+	return recent
+}
+
 // Merge adds the marks of another daemon.
 func (r *Registry) Merge(now time.Time, marks []Mark) {
 	r.mu.Lock()
--- /dev/null
+++ b/relay/crash.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"rattanline.example/rattanline/mirror"
+	"rattanline.example/rattanline/quarantine"
+)
+
+const (
+	// crashDelay is how long broken connections to one target are gathered before
+	// it is asked whether it still runs.
+	crashDelay = 40 * time.Millisecond
+	// probeTimeout bounds the connection that asks it.
+	probeTimeout = 400 * time.Millisecond
+)
+
+// Crashes tells crashed targets from broken connections, and marks the requests
+// that were in flight there. The exported fields are set before the first call.
+type Crashes struct {
+	Poison *quarantine.Registry
+	// Marked is called after requests were marked.
+	Marked func()
+	Logger zerolog.Logger
+
+	mu      sync.Mutex
+	pending map[string][]uint64 // fingerprints of broken requests, by target
+}
+
+// Broke tells that the connection broke while the target may have run the
+// request.
+func (c *Crashes) Broke(target mirror.Target, fingerprint uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == nil {
+		c.pending = map[string][]uint64{}
+	}
+	first := len(c.pending[target.Name]) == 0
+	c.pending[target.Name] = append(c.pending[target.Name], fingerprint)
+	if first {
+		time.AfterFunc(crashDelay, func() { c.probe(target.Name, target.Address) })
+	}
+}
+
+// probe marks the broken requests if the target no longer accepts connections.
+func (c *Crashes) probe(target, address string) {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+	}
+	c.mu.Lock()
+	fingerprints := c.pending[target]
+	delete(c.pending, target)
+	c.mu.Unlock()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	at := time.Now()
+	c.Poison.Crash(at, fmt.Sprintf("%s@%d", target, at.Unix()/crashSpan), fingerprints)
+	c.Logger.Warn().Str("target", target).Int("requests", len(fingerprints)).Msg("target crashed")
+	c.Marked()
+}
+
+// crashSpan is the time in seconds within which crashes of one target that
+// several daemons see count as one.
+const crashSpan = 2
--- /dev/null
+++ b/relay/protocol.go
@@ -0,0 +1,46 @@
+// Package relay takes requests that name a route by host and path, and forwards
+// each to one target of the route's service at a time. It decides what may be
+// sent again, and what a caller is told.
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"rattanline.example/rattanline/placement"
+	"rattanline.example/rattanline/request"
+)
+
+// Protocol translates the heads of requests and responses.
+type Protocol interface {
+	// Demand reads what a caller's request says of itself.
+	Demand(r *http.Request) request.Demand
+	// Outgoing returns the header for a target, given that of the caller.
+	Outgoing(in http.Header, o Outgoing) http.Header
+	// Answer reads the head of a target's response to the request with the id.
+	Answer(r *http.Response, id string) Answer
+}
+
+// Outgoing is what this daemon tells a target beside what the caller said.
+type Outgoing struct {
+	Target  string
+	Account string
+	// Left is the time that is left for the request.
+	Left time.Duration
+	// LastEvent is the event after which a stream goes on, empty to leave what
+	// the caller said.
+	LastEvent string
+}
+
+// Answer is what the head of a response says.
+type Answer struct {
+	// Belongs tells that it is the response to the request.
+	Belongs bool
+	// NotRun tells that the target did not run the request and never will.
+	NotRun bool
+	// Elsewhere tells that another target has the address.
+	Elsewhere bool
+	// Genuine tells that a success is the target's own and unchanged.
+	Genuine bool
+	Load    *placement.Load
+}
--- /dev/null
+++ b/setting/machine.go
@@ -0,0 +1,35 @@
+package setting
+
+import "time"
+
+// Machine holds the settings of a daemon on one of the platform's machines.
+type Machine struct {
+	Name          string
+	IP            string
+	FailureDomain string
+	Region        string
+
+	FrontendAddress  string
+	ReadyAddress     string
+	DirectoryAddress string
+	LinkAddress      string
+	// Seeds are link addresses of other daemons.
+	Seeds        []string
+	StoreAddress string
+
+	MemoryMB int
+	MaxFiles int
+	// GraceTime is how long the daemon may run after it was told to stop.
+	GraceTime time.Duration
+	// RevokeTime is how long after its removal a key may still be used at most;
+	// zero if that has no bound.
+	RevokeTime time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound the retries of all daemons.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// MaxResolveTime is the longest time that callers keep addresses.
+	MaxResolveTime time.Duration
+	// MinLease is the shortest lease of the store.
+	MinLease time.Duration
+}
