Refuse requests that come late in a stop

Cause: a daemon took requests until the end of its grace time and cut those still running then; callers whose request was taken 5 s after SIGTERM lost it.

Ruled out: callers that keep addresses long; they were told 1 s and the requests came on kept connections.

Change: after three address times, new requests are refused as not run.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -9,15 +9,19 @@
 const (
 	// stopMargin is kept from the grace time for the end of the process.
 	stopMargin = 600 * time.Millisecond
-	// moveTime is how long callers may still come after a daemon has left the
-	// directory: some keep the addresses three times as long as they were told.
-	moveTime = 3*addressTime + 700*time.Millisecond
+	// moveTime is how long after the stop began new requests are still taken.
+	// Some callers keep the addresses three times as long as they were told, and
+	// what is taken later might not finish within the grace time.
+	moveTime = 3 * addressTime
+	// refuseTime is how long new requests are refused after that before the
+	// daemon ends, if nothing runs any more.
+	refuseTime = 300 * time.Millisecond
 	// activePoll is the pause between two looks at the running requests.
 	activePoll = 50 * time.Millisecond
 )
 
 // stop leaves the directory, serves what still comes until callers have moved
-// to other daemons, and finishes what runs.
+// to other daemons, then refuses new requests and finishes what runs.
 func (d *Daemon) stop(s *http.Server) {
 	started := time.Now()
 	deadline := started.Add(d.Settings.GraceTime - stopMargin)
@@ -25,7 +29,8 @@
 	d.exchange.Announce()
 	d.Logger.Info().Int64("active", d.handler.Active()).Time("deadline", deadline).Msg("stop started")
 	for time.Now().Before(deadline) {
-		if time.Since(started) > moveTime && d.handler.Active() == 0 {
+		d.handler.Closed.Store(time.Since(started) > moveTime)
+		if time.Since(started) > moveTime+refuseTime && d.handler.Active() == 0 {
 			break
 		}
 		time.Sleep(activePoll)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -34,6 +34,8 @@
 	// denialAge is the age of the configuration above which a key or route that
 	// it lacks may exist: the request is then refused instead of denied.
 	denialAge = 2500 * time.Millisecond
+	// stopRetry is what callers of a daemon that stops are told: others are ready.
+	stopRetry = 50 * time.Millisecond
 	// defaultBody bounds bodies while the configuration sets no bound.
 	defaultBody = 4 << 20
 )
@@ -54,6 +56,8 @@
 	KeyAge time.Duration
 	// Leaving tells that callers should move to other daemons.
 	Leaving func() bool
+	// Closed tells that new requests are refused, because the daemon ends soon.
+	Closed atomic.Bool
 	// MaxBuffered bounds the bodies held by all requests together, in bytes.
 	MaxBuffered int64
 	Logger      zerolog.Logger
@@ -95,6 +99,9 @@
 func (h *Handler) route(c *call, r *http.Request) *refusal {
 	v := h.View()
 	c.age = h.Age()
+	if h.Closed.Load() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "this daemon stops", retry: stopRetry, close: true}
+	}
 	if v.Index == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: startRetry}
 	}
