Hold the expected time to the first event below the latency aim

The real first event came at 1.2 times the expected wait and 100 to 300 ms.

Ruled out: the max-min level itself; accounts above it were refused correctly, but only above a pressure that was reached when everybody was late already.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -17,12 +17,15 @@
 	rateTime = 1500 * time.Millisecond
 	// forgetTime is how long an account without requests is remembered.
 	forgetTime = 15 * time.Second
-	// easyPressure is the part of the latency aim up to which the expected wait
-	// refuses nobody.
-	easyPressure = 0.8
-	// maxPressure is the expected wait in latency aims above which everybody is
-	// refused.
-	maxPressure = 3.0
+	// firstDelay and waitFactor turn the expected wait for the prompts before a
+	// request into the expected time to its first event: steps of the engine and
+	// output tokens come on top.
+	firstDelay = 100 * time.Millisecond
+	waitFactor = 1.2
+	// easyPressure is the part of the latency aim up to which the expected time
+	// refuses nobody, fullPressure the one above which everybody is refused.
+	easyPressure = 0.55
+	fullPressure = 1.1
 	// shareSlack is how far above its share an account is served before it is
 	// refused: rates of a few requests vary.
 	shareSlack = 1.05
@@ -87,12 +90,13 @@
 	defer c.mu.Unlock()
 	a := c.account(now, q.Account)
 	a.asked.add(now, q.Work)
-	answer := Answer{Admitted: true, Pressure: q.Wait.Seconds() / max(q.Aim.Seconds(), 0.001)}
+	first := firstDelay.Seconds() + waitFactor*q.Wait.Seconds()
+	answer := Answer{Admitted: true, Pressure: first / max(q.Aim.Seconds(), 0.001)}
 	if answer.Pressure > easyPressure {
 		answer.Share = c.share(now, others)
 		answer.Served = a.served.now(now) + others[q.Account].Served
 		switch {
-		case answer.Pressure > maxPressure || q.Wait > q.Timeout*2/3:
+		case answer.Pressure > fullPressure || q.Wait > q.Timeout*2/3:
 			answer.Admitted = false
 		case answer.Served > answer.Share*shareSlack:
 			answer.Admitted = false
