Fetch kept prompt parts from the engine that keeps them

Change: an engine is told the address of another one that keeps more of the prompt, by this daemon's own sends and by the hash of the deepest shared part.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -15,6 +15,12 @@
 const (
 	// readRate is the number of prompt tokens that an engine reads in a second.
 	readRate = 38_000
+	// fetchRate is the number of kept tokens that one engine gets from another in
+	// a second.
+	fetchRate = 90_000
+	// fetchPenalty makes a fetch cost more than its time, because it is priced and
+	// keeps the link of both engines busy.
+	fetchPenalty = 1.6
 	// requestTime is what each request in flight adds to the wait at an engine.
 	requestTime = 2 * time.Millisecond
 	// plainTime is the time of a request at a plain service.
@@ -47,6 +53,9 @@
 	Wait time.Duration
 	// Prompt is the number of tokens that it has to read.
 	Prompt float64
+	// Source is the address of another target that keeps more of the prompt,
+	// empty if none is known to.
+	Source string
 	// Cold tells that the target is cold.
 	Cold bool
 	// Candidates is the number of targets that could be used.
@@ -66,6 +75,7 @@
 		return Choice{}, listed, false
 	}
 	home := homeOf(q, usable)
+	keepers := keepersOf(q, usable, home, now)
 	var best Choice
 	var bestTarget *target
 	var bestCost time.Duration
@@ -73,8 +83,8 @@
 		if now < t.coldEnd(g) && !t.mayWarm(g, now, daemons) {
 			continue
 		}
-		c := t.weigh(g, q, now, others[g.Name], g == home)
-		cost := c.Wait + t.penalty(g)
+		c, fetch := t.weigh(g, q, now, others[g.Name], keepers)
+		cost := c.Wait + t.penalty(g) + time.Duration(fetchPenalty*float64(fetch))
 		// Equal costs are frequent where nothing is in flight.
 		if bestTarget == nil || cost < bestCost || cost == bestCost && rand.IntN(2) == 0 {
 			best, bestTarget, bestCost = c, g, cost
@@ -142,7 +152,33 @@
 	return d.Sum64()
 }
 
-func (t *Table) weigh(g *target, q Query, now clock.Instant, others Work, home bool) Choice {
+// keeper is a target with the number of the prompt's tokens that it keeps.
+type keeper struct {
+	target *target
+	tokens int
+}
+
+// keepersOf returns what the targets are taken to keep of the prompt: what this
+// daemon sent there, and all shared parts at their home.
+func keepersOf(q Query, usable []*target, home *target, now clock.Instant) map[*target]int {
+	if !q.Engine {
+		return nil
+	}
+	kept := make(map[*target]int, len(usable))
+	for _, g := range usable {
+		if n := g.parts.kept(now, q.Demand.Parts); n > 0 {
+			kept[g] = n
+		}
+	}
+	if home != nil {
+		kept[home] = max(kept[home], shared(q.Demand.Parts))
+	}
+	return kept
+}
+
+// weigh returns what it means to send the request to the target, and the time
+// that fetching kept parts takes.
+func (t *Table) weigh(g *target, q Query, now clock.Instant, others Work, kept map[*target]int) (Choice, time.Duration) {
 	c := Choice{Target: g.Target, Cold: now < t.coldEnd(g)}
 	requests := g.work.Requests + others.Requests
 	if !q.Engine {
@@ -151,16 +187,24 @@
 			requests = max(requests, g.load.Running+g.load.Waiting)
 		}
 		c.Wait = plainTime * time.Duration(requests+1) / time.Duration(slots)
-		return c
+		return c, 0
+	}
+	most := keeper{}
+	for o, tokens := range kept {
+		if o != g && tokens > most.tokens {
+			most = keeper{o, tokens}
+		}
 	}
-	kept := g.parts.kept(now, q.Demand.Parts)
-	if home {
-		kept = max(kept, shared(q.Demand.Parts))
+	fetched := max(most.tokens-kept[g], 0)
+	// What the home keeps is only presumed, so a source is named there too.
+	if most.tokens > g.parts.kept(now, q.Demand.Parts) {
+		c.Source = most.target.Address
 	}
-	c.Prompt = float64(max(q.Demand.Prompt-kept, 1))
+	fetch := time.Duration(float64(fetched) / fetchRate * float64(time.Second))
+	c.Prompt = float64(max(q.Demand.Prompt-kept[g]-fetched, 1))
 	backlog := g.work.Prompt + others.Prompt + c.Prompt
-	c.Wait = time.Duration(backlog/readRate*float64(time.Second)) + requestTime*time.Duration(requests)
-	return c
+	c.Wait = time.Duration(backlog/readRate*float64(time.Second)) + requestTime*time.Duration(requests) + fetch
+	return c, fetch
 }
 
 // shared returns the tokens of the parts that other requests may share.
--- a/relay/call.go
+++ b/relay/call.go
@@ -164,7 +164,7 @@
 	reply, err := h.Pool.Send(ctx, upstream.Call{
 		Address: target.Address, Key: connectionKey(target.Name, target.Born), Method: c.method, URI: c.uri, Host: c.host,
 		Header: h.Protocol.Outgoing(c.header, Outgoing{
-			Target: target.Name, Account: c.account, Left: time.Until(c.deadline), LastEvent: c.lastEvent,
+			Target: target.Name, Account: c.account, Left: time.Until(c.deadline), LastEvent: c.lastEvent, Source: c.choice.Source,
 		}),
 		Body: c.body, Ours: func(r *http.Response) bool { return h.Protocol.Answer(r, c.demand.ID).Belongs },
 	})
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -27,6 +27,9 @@
 	Account string
 	// Left is the time that is left for the request.
 	Left time.Duration
+	// Source is the address of a target that keeps parts of the prompt, from which
+	// the target is to fetch them; empty for none.
+	Source string
 	// LastEvent is the event after which a stream goes on, empty to leave what
 	// the caller said.
 	LastEvent string
