Serve both interfaces through one scheduler port, pool, budget and event reader

Cause: relay had its own choice, retry budget, event reader and header rules beside those of frontend and upstream.

Change: relay acquires targets through port.Scheduler; upstream.Client sends over the pool, which replaces two net/http transports and the sealed connections; routing.Budget counts a window by service for both.

Tests replaced by ones as strict: TestSealedConnection by TestNotSentIsFinal (400 requests given up at different moments; none that was reported as not sent reaches its target), TestBudget over a window, and a property of any window.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -22,8 +22,12 @@
 	"rattanline.example/rattanline/usage"
 )
 
-// retryReserve are the retries allowed before there were requests to earn them.
-const retryReserve = 10
+const (
+	// retryReserve are the retries allowed in each window without requests.
+	retryReserve = 10
+	// retryWindow is the time over which retries are compared with requests.
+	retryWindow = 10 * time.Second
+)
 
 // build creates the parts. It starts nothing.
 func (d *Daemon) build() {
@@ -72,7 +76,7 @@
 		},
 		Refuse: d.refuse, Entries: d.entries, EntriesTTL: s.EntriesTTL, Ready: d.ready,
 		Quarantine: d.poison, MarkTime: markTime(s.ExchangeInterval),
-		RetryBudget: routing.NewBudget(s.RetryRatio, retryReserve),
+		RetryBudget: &routing.Budget{Span: retryWindow, Ratio: s.RetryRatio, Slack: func() float64 { return retryReserve }},
 		Refresh:     d.node.Refresh, Recorder: d.events, Logger: d.Logger, MaxBody: s.MaxBody,
 	}
 	d.peer = &operator.Peer{Report: d.report, Recorded: d.events.Events}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -101,10 +101,11 @@
 		Self: d.self, Link: &link.Client{}, Mirror: d.mirror, Marks: d.poison, Seeds: s.Seeds,
 		Status: func() (bool, bool) { return d.ready(), d.leaving.Load() }, Report: d.report, Logger: d.Logger,
 	}
-	d.pool = &upstream.Pool{Opened: func(string) { connections.Inc() }}
+	d.pool = &upstream.Pool{Opened: connections.Inc}
 	d.handler = &relay.Handler{
-		Protocol: platform.Wire{}, View: d.mirror.View, Age: d.age, Table: d.table, Admission: d.admission,
-		Poison: d.poison, Retries: &routing.Window{Span: s.RetryWindow, Ratio: s.RetryRatio * retryPart, Slack: d.retrySlack},
+		Protocol: platform.Wire{}, View: d.mirror.View, Age: d.age, Loaded: d.table.Loaded,
+		Scheduler: &placement.Scheduler{Table: d.table, Admission: d.admission, Engine: d.engine},
+		Poison:    d.poison, Retries: &routing.Budget{Span: s.RetryWindow, Ratio: s.RetryRatio * retryPart, Slack: d.retrySlack},
 		Pool: d.pool, Crashes: &relay.Crashes{Poison: d.poison, Marked: d.exchange.Announce, Logger: d.Logger},
 		KeyAge: max(s.RevokeTime-keyMargin, 0), Leaving: d.leaving.Load,
 		MaxBuffered: int64(s.MemoryMB) << 20 / bufferedPart, Logger: d.Logger,
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -6,6 +6,7 @@
 
 	"rattanline.example/rattanline/admission"
 	"rattanline.example/rattanline/clock"
+	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/exchange"
 	"rattanline.example/rattanline/placement"
 	"rattanline.example/rattanline/platform"
@@ -106,6 +107,16 @@
 	return s.Connection.ColdRate, s.Connection.ColdTime.Std()
 }
 
+// engine tells that the targets of the service read prompts.
+func (d *Daemon) engine(service string) bool {
+	x := d.mirror.View().Index
+	if x == nil {
+		return false
+	}
+	s, ok := x.Service(service)
+	return ok && s.Kind == config.Model
+}
+
 // retrySlack returns this daemon's part of the retries that the fleet may make
 // without requests. It grows from zero after a start, because the daemon before
 // it may have used its part.
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"rattanline.example/rattanline/claim"
+	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/request"
@@ -70,7 +71,7 @@
 	h := c.handler
 	c.caller = caller
 	if h.RetryBudget != nil {
-		h.RetryBudget.Request()
+		h.RetryBudget.Request(c.service.Name, clock.Now())
 	}
 	ctx, cancel := context.WithDeadline(caller, c.deadline)
 	defer cancel()
@@ -245,7 +246,7 @@
 			return false
 		}
 	}
-	return c.handler.RetryBudget == nil || c.handler.RetryBudget.TryRetry()
+	return c.handler.RetryBudget == nil || c.handler.RetryBudget.TryRetry(c.service.Name, clock.Now())
 }
 
 // refusalOf turns an error before the first byte into a refusal.
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"rattanline.example/rattanline/claim"
+	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/request"
@@ -47,8 +48,8 @@
 
 // RetryBudget bounds retries to a part of the requests.
 type RetryBudget interface {
-	Request()
-	TryRetry() bool
+	Request(service string, now clock.Instant)
+	TryRetry(service string, now clock.Instant) bool
 }
 
 // Handler serves callers. Fields are set before the first request.
--- /dev/null
+++ b/placement/scheduler.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rattanline.example/rattanline/admission"
+	"rattanline.example/rattanline/clock"
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/request"
+)
+
+// noTargetRetry is what callers are told while no target can be used.
+const noTargetRetry = 400 * time.Millisecond
+
+// Scheduler implements port.Scheduler for targets that queue requests
+// themselves: it assigns or refuses at once, by what this daemon and the others
+// have in flight. The exported fields are set before the first call.
+type Scheduler struct {
+	Table     *Table
+	Admission *admission.Control
+	// Engine tells that the targets of a service read prompts.
+	Engine func(service string) bool
+}
+
+var _ port.Scheduler = (*Scheduler)(nil)
+
+// Acquire implements port.Scheduler.
+func (s *Scheduler) Acquire(_ context.Context, job port.Job) (port.Assignment, error) {
+	query := Query{Service: job.Service, Engine: s.Engine(job.Service), Demand: job.Demand, Avoid: job.Avoid}
+	choice, listed, ok := s.Table.Choose(query)
+	if !ok {
+		return nil, &request.Refusal{
+			Reason: request.NoTarget, Detail: fmt.Sprintf("no target can be used, %d are listed", listed), RetryAfter: noTargetRetry,
+		}
+	}
+	a := &assignment{scheduler: s, job: job, choice: choice, basis: port.Basis{
+		Wait: choice.Wait, Prompt: choice.Prompt, Source: choice.Source, Cold: choice.Cold,
+	}}
+	if query.Engine && len(job.Avoid) == 0 {
+		if err := a.admit(); err != nil {
+			return nil, err
+		}
+	}
+	s.Table.Started(choice.Target.Name, choice.Prompt, job.Demand.Parts)
+	return a, nil
+}
+
+// assignment implements port.Assignment.
+type assignment struct {
+	scheduler *Scheduler
+	job       port.Job
+	choice    Choice
+	basis     port.Basis
+	admitted  bool
+	began     bool
+}
+
+// admit asks whether the account gets a part of the engines' work.
+func (a *assignment) admit() error {
+	answer := a.scheduler.Admission.Decide(clock.Now(), admission.Question{
+		Account: a.job.Account, Work: a.job.Demand.Work(), Wait: a.choice.Wait,
+		Aim: a.job.LatencyAim, Timeout: time.Until(a.job.Deadline),
+	})
+	a.basis.Pressure, a.basis.Served, a.basis.Share = answer.Pressure, answer.Served, answer.Share
+	a.admitted = answer.Admitted
+	if answer.Admitted {
+		return nil
+	}
+	return &request.Refusal{
+		Reason: request.QueueFull, RetryAfter: answer.RetryAfter, Detail: fmt.Sprintf(
+			"the targets have more work than they can do in time: pressure %.2f, served %.0f of %.0f", answer.Pressure, answer.Served, answer.Share),
+	}
+}
+
+// Target implements port.Assignment.
+func (a *assignment) Target() config.Target {
+	t := a.choice.Target
+	return config.Target{Name: t.Name, Service: t.Service, FailureDomain: t.Domain, URL: "http://" + t.Address}
+}
+
+// Basis implements port.Assignment.
+func (a *assignment) Basis() port.Basis { return a.basis }
+
+// Charge implements port.Assignment. Accounts are charged by what they asked for.
+func (a *assignment) Charge(float64) {}
+
+// Began implements port.Assignment.
+func (a *assignment) Began() {
+	if !a.began {
+		a.began = true
+		a.scheduler.Table.Read(a.choice.Target.Name, a.choice.Prompt)
+	}
+}
+
+// Finish implements port.Assignment.
+func (a *assignment) Finish(t port.Attempt) {
+	a.Began()
+	a.scheduler.Table.Ended(a.choice.Target.Name, t.Result)
+	switch t.Result {
+	case port.NotSent, port.Overloaded, port.Unreachable, port.Misdirected:
+		if a.admitted {
+			a.scheduler.Admission.Withdraw(clock.Now(), a.job.Account, a.job.Demand.Work())
+		}
+	case port.Succeeded, port.Failed, port.Crashed, port.Canceled:
+	}
+}
--- a/placement/table.go
+++ b/placement/table.go
@@ -9,6 +9,7 @@
 
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/mirror"
+	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/request"
 )
 
@@ -131,19 +132,6 @@
 	}
 }
 
-// Outcome tells how an attempt ended, as far as it says something of the target.
-type Outcome int
-
-// The outcomes of an attempt.
-const (
-	Answered    Outcome = iota // a response of the target, whatever its status
-	Full                       // the target turned the request away
-	Unreachable                // no connection could be made
-	Broken                     // the connection broke, or the response was spoiled
-	Elsewhere                  // another server has its address
-	Unclear                    // nothing is known, for one because the caller left
-)
-
 const (
 	// coldMargin allows for the delay between a target's clock and its entry.
 	coldMargin = 300 * time.Millisecond
@@ -158,7 +146,7 @@
 )
 
 // Ended takes a request out of those in flight.
-func (t *Table) Ended(name string, o Outcome) {
+func (t *Table) Ended(name string, result port.AttemptResult) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.targets[name]
@@ -169,14 +157,14 @@
 	if g.work.Requests == 0 {
 		g.work.Prompt = 0
 	}
-	t.observe(g, o, clock.Now())
+	t.observe(g, result, clock.Now())
 }
 
-func (t *Table) observe(g *target, o Outcome, now clock.Instant) {
-	switch o {
-	case Answered:
+func (t *Table) observe(g *target, result port.AttemptResult, now clock.Instant) {
+	switch result {
+	case port.Succeeded, port.Failed:
 		g.failures = 0
-	case Unreachable:
+	case port.Unreachable:
 		g.failures++
 		pause := min(downTime<<min(g.failures-1, 4), maxDownTime)
 		g.down = max(g.down, now.Add(pause))
@@ -185,14 +173,14 @@
 			g.cold = max(g.cold, g.down.Add(coldTime))
 		}
 		g.parts = parts{}
-	case Elsewhere:
+	case port.Misdirected:
 		g.down = max(g.down, now.Add(maxDownTime))
-	case Broken:
+	case port.Crashed:
 		g.failures++
 		if g.failures >= brokenCount {
 			g.down = max(g.down, now.Add(brokenTime))
 		}
-	case Full, Unclear:
+	case port.Overloaded, port.Canceled, port.NotSent:
 	}
 }
 
--- a/port/scheduler.go
+++ b/port/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/request"
 )
 
 // Job describes a request that needs a slot at a target of its service.
@@ -22,6 +23,11 @@
 	Avoid []string
 	// Fingerprint identifies the request's content for the poison quarantine.
 	Fingerprint uint64
+	// LatencyAim is the time to the first event within which the request is of
+	// full worth, zero if it has none.
+	LatencyAim time.Duration
+	// Demand is what the request says of its prompt.
+	Demand request.Demand
 }
 
 // AttemptResult tells how one attempt at a target ended.
@@ -35,6 +41,9 @@
 	Crashed    AttemptResult = "crashed"    // the connection broke, the target may be gone
 	Canceled   AttemptResult = "canceled"   // the caller went away
 	NotSent    AttemptResult = "not-sent"   // no byte went to the target
+
+	Unreachable AttemptResult = "unreachable" // no connection could be made
+	Misdirected AttemptResult = "misdirected" // another target has the address
 )
 
 // Attempt is how an assignment ended: its result, its true cost as far as it is
@@ -52,12 +61,31 @@
 // Assignment is one slot at one target, held for one attempt.
 type Assignment interface {
 	Target() config.Target
+	// Basis returns what the choice of the target was based on.
+	Basis() Basis
+	// Began tells that the target has begun to answer.
+	Began()
 	// Charge reports the cost seen so far while the response streams.
 	Charge(cost float64)
 	// Finish ends the attempt. It must be called exactly once.
 	Finish(Attempt)
 }
 
+// Basis is what a choice of a target was based on. Fields that don't apply are
+// zero.
+type Basis struct {
+	// Wait is the expected time until the target begins to answer.
+	Wait time.Duration
+	// Prompt is the number of tokens that it has to read.
+	Prompt float64
+	// Source is the address of another target that keeps parts of the prompt.
+	Source string
+	Cold   bool
+	// Pressure is the expected time to the first event in latency aims. Served is
+	// the work per second that the account gets, Share what it may get.
+	Pressure, Served, Share float64
+}
+
 // Scheduler assigns slots to requests in the order of fair shares.
 type Scheduler interface {
 	// Acquire waits until a slot is free for the job. Its errors are
--- a/relay/call.go
+++ b/relay/call.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"rattanline.example/rattanline/admission"
 	"rattanline.example/rattanline/config"
-	"rattanline.example/rattanline/placement"
+	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/request"
 	"rattanline.example/rattanline/upstream"
 )
@@ -19,8 +17,9 @@
 	// maxSends bounds the targets that one request is sent to, those that did
 	// not run it included.
 	maxSends = 4
-	// noTargetRetry is what callers are told while no target can be used.
-	noTargetRetry = 400 * time.Millisecond
+	// resendRetry is what callers are told whose request was not run and is not
+	// sent again.
+	resendRetry = 400 * time.Millisecond
 	// quarantineRetry is what callers of a quarantined request are told.
 	quarantineRetry = time.Minute
 )
@@ -29,7 +28,6 @@
 type call struct {
 	handler *Handler
 	writer  http.ResponseWriter
-	caller  context.Context
 
 	arrived, deadline time.Time
 	demand            request.Demand
@@ -48,9 +46,8 @@
 	// ran counts the targets that may have run the request, sends all targets.
 	ran, sends int
 	tried      []string
-	target     string
-	choice     placement.Choice
-	admission  admission.Answer
+	target     config.Target
+	basis      port.Basis
 
 	committed bool
 	lastEvent string
@@ -74,10 +71,6 @@
 func (c *call) run(ctx context.Context) {
 	h := c.handler
 	c.state = request.Queued{}
-	if h.Poison.Quarantined(time.Now(), c.fingerprint) {
-		c.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "targets crashed while they ran this request", retry: quarantineRetry})
-		return
-	}
 	h.Retries.Request(c.service, now())
 	for {
 		result, err := c.attempt(ctx)
@@ -86,7 +79,7 @@
 			return
 		case result == again && ctx.Err() == nil && c.mayResend():
 			retries.Inc()
-			h.Logger.Info().Str("request", c.demand.ID).Str("target", c.target).Int("sends", c.sends).
+			h.Logger.Info().Str("request", c.demand.ID).Str("target", c.target.Name).Int("sends", c.sends).
 				Err(err).Msg("request sent again")
 			continue
 		}
@@ -104,106 +97,113 @@
 	return c.handler.Retries.TryRetry(c.service, now())
 }
 
-// attempt chooses a target and sends the request there.
+// attempt gets a target from the scheduler and sends the request there.
 func (c *call) attempt(ctx context.Context) (step, error) {
-	h := c.handler
-	query := placement.Query{Service: c.service, Engine: c.engine(), Demand: c.demand, Avoid: c.tried}
-	choice, listed, ok := h.Table.Choose(query)
-	if !ok {
-		c.refuseOr(&refusal{
-			status: http.StatusServiceUnavailable, reason: fmt.Sprintf("no target can be used, %d are listed", listed), retry: noTargetRetry,
-		})
-		return done, nil
-	}
-	c.choice, c.target = choice, choice.Target.Name
-	if r := c.admit(query.Engine); r != nil {
+	if r := c.barred(); r != nil {
 		c.refuseOr(r)
 		return done, nil
 	}
-	if r := c.stale(); r != nil {
-		c.refuseOr(r)
+	slot, err := c.handler.Scheduler.Acquire(ctx, port.Job{
+		RequestID: c.demand.ID, Account: c.account, Service: c.service, Urgent: true, Deadline: c.deadline,
+		Cost: c.demand.Work(), Bytes: int64(len(c.body)), Avoid: c.tried, Fingerprint: c.fingerprint,
+		LatencyAim: c.route.LatencyAim.Std(), Demand: c.demand,
+	})
+	if err != nil {
+		c.refuseOr(refusalOf(err))
 		return done, nil
 	}
-	if h.Poison.Quarantined(time.Now(), c.fingerprint) {
-		c.refuseOr(&refusal{status: http.StatusServiceUnavailable, reason: "targets crashed while they ran this request", retry: quarantineRetry})
+	c.target, c.basis = slot.Target(), slot.Basis()
+	// Both may have changed while the request waited for a target.
+	if r := c.barred(); r != nil {
+		slot.Finish(port.Attempt{Result: port.NotSent})
+		c.refuseOr(r)
 		return done, nil
 	}
-	return c.send(ctx)
+	return c.send(ctx, slot)
 }
 
-// admit asks once whether the request gets a part of the engines' work.
-func (c *call) admit(engine bool) *refusal {
-	if !engine || c.sends > 0 {
-		return nil
+// barred refuses a request whose key can't be trusted or that crashes targets.
+func (c *call) barred() *refusal {
+	if r := c.stale(); r != nil {
+		return r
 	}
-	c.admission = c.handler.Admission.Decide(now(), admission.Question{
-		Account: c.account, Work: c.demand.Work(), Wait: c.choice.Wait,
-		Aim: c.route.LatencyAim.Std(), Timeout: time.Until(c.deadline),
-	})
-	if c.admission.Admitted {
-		return nil
+	if c.handler.Poison.Quarantined(time.Now(), c.fingerprint) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "targets crashed while they ran this request", retry: quarantineRetry}
 	}
-	return &refusal{status: http.StatusTooManyRequests, reason: "the targets have more work than they can do in time", retry: c.admission.RetryAfter}
+	return nil
 }
 
-// send sends the request to the chosen target and forwards the response.
-func (c *call) send(ctx context.Context) (step, error) {
-	h, target := c.handler, c.choice.Target
+// refusalOf turns a refusal of the scheduler into an answer.
+func refusalOf(err error) *refusal {
+	r := &refusal{status: http.StatusServiceUnavailable, reason: err.Error()}
+	var refused *request.Refusal
+	if errors.As(err, &refused) {
+		r.reason, r.retry = refused.Detail, refused.RetryAfter
+		if refused.Reason == request.QueueFull {
+			r.status = http.StatusTooManyRequests
+		}
+	}
+	return r
+}
+
+// send sends the request to the target and forwards the response.
+func (c *call) send(ctx context.Context, slot port.Assignment) (step, error) {
+	h := c.handler
 	c.sends++
-	c.tried = append(c.tried, target.Name)
-	h.Table.Started(target.Name, c.choice.Prompt, c.demand.Parts)
-	outcome, read := placement.Unclear, false
+	c.tried = append(c.tried, c.target.Name)
 	sentAt := time.Now()
+	ended := port.Attempt{Result: port.Canceled}
 	defer func() {
-		h.Table.Ended(target.Name, outcome)
-		if !read {
-			h.Table.Read(target.Name, c.choice.Prompt)
-		}
-		attemptTime.Update(time.Since(sentAt).Seconds())
+		ended.Total = time.Since(sentAt)
+		slot.Finish(ended)
+		attemptTime.Update(ended.Total.Seconds())
 	}()
-	reply, err := h.Pool.Send(ctx, upstream.Call{
-		Address: target.Address, Key: connectionKey(target.Name, target.Born), Method: c.method, URI: c.uri, Host: c.host,
-		Header: h.Protocol.Outgoing(c.header, Outgoing{
-			Target: target.Name, Account: c.account, Left: time.Until(c.deadline), LastEvent: c.lastEvent, Source: c.choice.Source,
-		}),
-		Body: c.body, Ours: func(r *http.Response) bool { return h.Protocol.Answer(r, c.demand.ID).Belongs },
-	})
+	reply, err := h.Pool.Send(ctx, c.outgoing())
 	if err != nil {
-		outcome = c.unanswered(ctx, err)
-		if outcome == placement.Broken {
-			h.Crashes.Broke(target, c.fingerprint)
-		}
+		ended.Result = c.unanswered(ctx, err)
 		return c.afterError(err)
 	}
-	defer reply.Close()
+	defer func() { _ = reply.Close() }()
 	answer := h.Protocol.Answer(reply.Response, c.demand.ID)
 	if answer.Load != nil {
-		h.Table.Loaded(target.Name, *answer.Load)
+		h.Loaded(c.target.Name, *answer.Load)
 	}
-	outcome = placement.Answered
 	if answer.NotRun {
 		c.drain(reply)
-		outcome = placement.Full
+		ended.Result = port.Overloaded
 		if answer.Elsewhere {
-			outcome = placement.Elsewhere
+			ended.Result = port.Misdirected
 		}
 		return again, errors.Errorf("target answered %d, not run", reply.StatusCode)
 	}
+	ended.Result = port.Succeeded
+	if reply.StatusCode >= http.StatusInternalServerError {
+		ended.Result = port.Failed
+	}
 	c.mayHaveRun()
-	onFirst := func() {
-		read = true
+	result, err := c.forward(reply, answer, func() {
 		c.firstAt = time.Now()
-		h.Table.Read(target.Name, c.choice.Prompt)
-	}
-	result, err := c.forward(reply, answer, onFirst)
+		ended.FirstByte = c.firstAt.Sub(sentAt)
+		slot.Began()
+	})
 	if errors.Is(err, errBroken) && ctx.Err() == nil {
-		outcome = placement.Broken
-		h.Crashes.Broke(target, c.fingerprint)
+		ended.Result = port.Crashed
+		h.Crashes.Broke(c.target, c.fingerprint)
 	}
 	return result, err
 }
 
-func connectionKey(name string, born int64) string { return fmt.Sprintf("%s/%d", name, born) }
+// outgoing returns the request as it is sent to the target.
+func (c *call) outgoing() upstream.Call {
+	protocol := c.handler.Protocol
+	return upstream.Call{
+		Address: upstream.AddressOf(c.target), Key: c.target.Name, Method: c.method, URI: c.uri, Host: c.host,
+		Header: protocol.Outgoing(c.header, Outgoing{
+			Target: c.target.Name, Account: c.account, Left: time.Until(c.deadline), LastEvent: c.lastEvent, Source: c.basis.Source,
+		}),
+		Body: c.body, Ours: func(r *http.Response) bool { return protocol.Answer(r, c.demand.ID).Belongs },
+	}
+}
 
 // mayHaveRun notes that a byte of the request may have reached a target that
 // did not deny to have run it.
@@ -222,15 +222,18 @@
 }
 
 // unanswered tells what an attempt without a response says of the target.
-func (c *call) unanswered(ctx context.Context, err error) placement.Outcome {
+func (c *call) unanswered(ctx context.Context, err error) port.AttemptResult {
 	var s *upstream.SendError
 	switch {
 	case ctx.Err() != nil:
-		return placement.Unclear
+		return port.Canceled
 	case errors.As(err, &s) && s.Dial:
-		return placement.Unreachable
+		return port.Unreachable
+	case errors.As(err, &s) && !s.Written:
+		return port.NotSent
 	default:
-		return placement.Broken
+		c.handler.Crashes.Broke(c.target, c.fingerprint)
+		return port.Crashed
 	}
 }
 
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -10,8 +10,9 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"rattanline.example/rattanline/mirror"
+	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/quarantine"
+	"rattanline.example/rattanline/upstream"
 )
 
 const (
@@ -36,7 +37,7 @@
 
 // Broke tells that the connection broke while the target may have run the
 // request.
-func (c *Crashes) Broke(target mirror.Target, fingerprint uint64) {
+func (c *Crashes) Broke(target config.Target, fingerprint uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending == nil {
@@ -45,7 +46,7 @@
 	first := len(c.pending[target.Name]) == 0
 	c.pending[target.Name] = append(c.pending[target.Name], fingerprint)
 	if first {
-		time.AfterFunc(crashDelay, func() { c.probe(target.Name, target.Address) })
+		time.AfterFunc(crashDelay, func() { c.probe(target.Name, upstream.AddressOf(target)) })
 	}
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -1,14 +1,11 @@
 package relay
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/pkg/errors"
 
@@ -30,27 +27,6 @@
 
 func broken(err error) error { return fmt.Errorf("%w: %w", errBroken, err) }
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
-// EndToEnd returns a copy of the header without the fields that concern one
-// connection only.
-func EndToEnd(in http.Header) http.Header {
-	out := in.Clone()
-	for _, list := range in.Values("Connection") {
-		for _, name := range strings.Split(list, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
-	return out
-}
-
 // canRepeat tells whether another run is allowed and would be tried.
 func (c *call) canRepeat() bool {
 	return c.route.Repeat == config.RepeatAny && c.ran < c.route.MaxAttempts && c.sends < maxSends
@@ -98,7 +74,7 @@
 	}
 	header := c.writer.Header()
 	leaving := header.Get("Connection")
-	for name, values := range EndToEnd(reply.Header) {
+	for name, values := range upstream.PassedHeaders(reply.Header) {
 		header[name] = values
 	}
 	if leaving != "" {
@@ -174,28 +150,30 @@
 
 // forwardEvents passes on a stream, whole events only.
 func (c *call) forwardEvents(reply *upstream.Reply, onFirst func()) (step, error) {
-	reader := bufio.NewReaderSize(reply, 4<<10)
+	reader := upstream.NewEventReader(reply, maxEvent)
+	defer reader.Release()
 	controller := http.NewResponseController(c.writer)
 	for first := true; ; first = false {
-		event, err := readEvent(reader)
-		if err != nil && err != io.EOF {
+		event, err := reader.Next()
+		if err == io.EOF {
+			c.commit(reply)
+			return c.complete()
+		}
+		if err != nil {
 			return c.streamBroke(err)
 		}
 		if first {
 			onFirst()
 		}
-		if len(event) > 0 && !c.seen(event) {
-			c.commit(reply)
-			if _, err := c.writer.Write(event); err != nil {
-				return c.callerLeft(err)
-			}
-			if err := controller.Flush(); err != nil {
-				return c.callerLeft(err)
-			}
+		if c.seen(event) {
+			continue
 		}
-		if err == io.EOF {
-			c.commit(reply)
-			return c.complete()
+		c.commit(reply)
+		if _, err := c.writer.Write(event.Raw); err != nil {
+			return c.callerLeft(err)
+		}
+		if err := controller.Flush(); err != nil {
+			return c.callerLeft(err)
 		}
 	}
 }
@@ -209,40 +187,16 @@
 	return result, err
 }
 
-// readEvent returns the bytes up to the blank line that ends an event. At the
-// end of the stream, it returns what is left and io.EOF.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case err == bufio.ErrBufferFull && len(event) <= maxEvent:
-			continue
-		case err != nil:
-			return event, err
-		case len(event) > maxEvent:
-			return nil, errors.New("event too long")
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return event, nil
-		}
-	}
-}
-
 // seen notes the id of an event, and tells that the caller has it already.
-func (c *call) seen(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id := string(bytes.TrimSpace(value))
-		number, err := strconv.ParseInt(id, 10, 64)
-		last, lastErr := strconv.ParseInt(c.lastEvent, 10, 64)
-		if err == nil && lastErr == nil && number <= last {
-			return true
-		}
-		c.lastEvent = id
+func (c *call) seen(event upstream.Event) bool {
+	if !event.HasID {
+		return false
+	}
+	number, err := strconv.ParseInt(event.ID, 10, 64)
+	last, lastErr := strconv.ParseInt(c.lastEvent, 10, 64)
+	if err == nil && lastErr == nil && number <= last {
+		return true
 	}
+	c.lastEvent = event.ID
 	return false
 }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -14,11 +14,10 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
-	"rattanline.example/rattanline/admission"
 	"rattanline.example/rattanline/clock"
-	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/mirror"
 	"rattanline.example/rattanline/placement"
+	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/quarantine"
 	"rattanline.example/rattanline/request"
 	"rattanline.example/rattanline/routing"
@@ -45,12 +44,13 @@
 	Protocol  Protocol
 	View      func() *mirror.View
 	Age       func() time.Duration
-	Table     *placement.Table
-	Admission *admission.Control
-	Poison    *quarantine.Registry
-	Retries   *routing.Window
-	Pool      *upstream.Pool
-	Crashes   *Crashes
+	Scheduler port.Scheduler
+	// Loaded takes the load that a target tells with a response.
+	Loaded  func(target string, load placement.Load)
+	Poison  *quarantine.Registry
+	Retries *routing.Budget
+	Pool    *upstream.Pool
+	Crashes *Crashes
 	// KeyAge is the age of the configuration above which keys are not trusted,
 	// because they may have been taken away; zero trusts them always.
 	KeyAge time.Duration
@@ -84,7 +84,6 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadline)
 	defer cancel()
-	c.caller = r.Context()
 	if refusal := h.read(c, r); refusal != nil {
 		c.refuse(refusal)
 		return
@@ -202,10 +201,4 @@
 	return n
 }
 
-// engine tells that the service's targets are model engines.
-func (c *call) engine() bool {
-	s, ok := c.index.Service(c.service)
-	return ok && s.Kind == config.Model
-}
-
 func now() clock.Instant { return clock.Now() }
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -54,7 +54,7 @@
 		status, reason = http.StatusGatewayTimeout, "timeout: "+reason
 	}
 	if q, ok := c.state.(request.Queued); ok && !q.MayHaveRun {
-		c.refuseOr(&refusal{status: http.StatusServiceUnavailable, reason: reason, retry: noTargetRetry})
+		c.refuseOr(&refusal{status: http.StatusServiceUnavailable, reason: reason, retry: resendRetry})
 		return
 	}
 	c.lose(status, reason)
@@ -100,14 +100,14 @@
 	if c.index != nil {
 		e.Uint64("config", c.index.Version())
 	}
-	if c.target != "" {
-		e.Str("target", c.target).Dur("expected-wait", c.choice.Wait).Float64("prompt", c.choice.Prompt).Bool("cold", c.choice.Cold)
+	if c.target.Name != "" {
+		e.Str("target", c.target.Name).Dur("expected-wait", c.basis.Wait).Float64("prompt", c.basis.Prompt).Bool("cold", c.basis.Cold)
 	}
 	if !c.firstAt.IsZero() {
 		e.Dur("first", c.firstAt.Sub(c.arrived))
 	}
-	if c.admission.Pressure > 0 {
-		e.Float64("pressure", c.admission.Pressure).Float64("served", c.admission.Served).Float64("share", c.admission.Share)
+	if c.basis.Pressure > 0 {
+		e.Float64("pressure", c.basis.Pressure).Float64("served", c.basis.Served).Float64("share", c.basis.Share)
 	}
 	if c.cause != "" {
 		e.Str("cause", c.cause)
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -1,41 +1,76 @@
 // Package routing chooses among targets and bounds retries.
 package routing
 
-import "sync"
+import (
+	"sync"
+	"time"
 
-// budgetWindow is the number of recent requests whose unused retries are kept:
-// a longer memory would allow a burst of retries after a quiet time.
-const budgetWindow = 1000
+	"rattanline.example/rattanline/clock"
+)
 
-// Budget bounds retries to a ratio of the requests, so that a fleet that fails
-// isn't loaded further by its own retries. It is safe for concurrent use.
+// windowParts is the number of parts in which a window is counted.
+const windowParts = 10
+
+// Budget bounds the retries in any span of time to a ratio of the requests in
+// it and a fixed number, by service. It is safe for concurrent use; the fields
+// are set before the first call.
 type Budget struct {
-	mu      sync.Mutex
-	ratio   float64
-	most    float64
-	retries float64
+	Span  time.Duration
+	Ratio float64
+	// Slack returns this daemon's part of the retries that the fleet may make
+	// without requests.
+	Slack func() float64
+
+	mu       sync.Mutex
+	services map[string]*windowCount
 }
 
-// NewBudget returns a budget that allows reserve retries before any request.
-func NewBudget(ratio float64, reserve int) *Budget {
-	return &Budget{ratio: ratio, most: float64(reserve) + ratio*budgetWindow, retries: float64(reserve)}
+type windowCount struct {
+	parts [windowParts + 1]struct {
+		number            int64
+		requests, retries int
+	}
 }
 
-// Request counts a first attempt.
-func (b *Budget) Request() {
+func (b *Budget) part(service string, now clock.Instant) (*windowCount, int64) {
+	if b.services == nil {
+		b.services = map[string]*windowCount{}
+	}
+	c := b.services[service]
+	if c == nil {
+		c = &windowCount{}
+		b.services[service] = c
+	}
+	n := int64(now) / int64(b.Span/windowParts)
+	if p := &c.parts[n%int64(len(c.parts))]; p.number != n {
+		p.number, p.requests, p.retries = n, 0, 0
+	}
+	return c, n
+}
+
+// Request counts a request for the service.
+func (b *Budget) Request(service string, now clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.retries = min(b.retries+b.ratio, b.most)
+	c, n := b.part(service, now)
+	c.parts[n%int64(len(c.parts))].requests++
 }
 
-// TryRetry takes one retry from the budget if there is one.
-func (b *Budget) TryRetry() bool {
+// TryRetry takes one retry if the window allows it.
+func (b *Budget) TryRetry(service string, now clock.Instant) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	// Tenths don't add up exactly in binary.
-	if b.retries < 1-1e-9 {
+	c, n := b.part(service, now)
+	requests, retries := 0, 0
+	for _, p := range c.parts {
+		if n-p.number <= windowParts {
+			requests += p.requests
+			retries += p.retries
+		}
+	}
+	if float64(retries+1) > b.Ratio*float64(requests)+b.Slack() {
 		return false
 	}
-	b.retries--
+	c.parts[n%int64(len(c.parts))].retries++
 	return true
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -3,8 +3,6 @@
 package upstream
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -39,9 +37,8 @@
 	// MaxIdlePerTarget bounds the idle connections kept to each target.
 	MaxIdlePerTarget int
 
-	once   sync.Once
-	pooled *http.Transport
-	fresh  *http.Transport
+	once sync.Once
+	pool *Pool
 }
 
 var (
@@ -63,35 +60,10 @@
 		if c.MaxIdlePerTarget == 0 {
 			c.MaxIdlePerTarget = 64
 		}
-		c.pooled = c.transport()
-		// A target may close an idle connection just when a request is written
-		// to it, which leaves open whether it ran. Requests that can't be sent
-		// again therefore get a new connection.
-		c.fresh = c.transport()
-		c.fresh.DisableKeepAlives = true
+		c.pool = &Pool{MaxIdle: c.MaxIdlePerTarget, DialTimeout: c.ConnectTimeout, Idle: idleTimeout}
 	})
 }
 
-func (c *Client) transport() *http.Transport {
-	dialer := &net.Dialer{Timeout: c.ConnectTimeout}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &sealedConn{Conn: conn}, nil
-		},
-		// The bytes of a response are passed on as they are.
-		DisableCompression:     true,
-		MaxIdleConns:           4096,
-		MaxIdleConnsPerHost:    c.MaxIdlePerTarget,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: 64 << 10,
-		TLSHandshakeTimeout:    c.ConnectTimeout,
-	}
-}
-
 // Attempt is one request to one target.
 type Attempt struct {
 	Identity request.Identity
--- a/upstream/event.go
+++ b/upstream/event.go
@@ -11,18 +11,18 @@
 	"rattanline.example/rattanline/request"
 )
 
-// event is one event of a stream. Raw holds its bytes as they were received,
+// Event is one event of a stream. Raw holds its bytes as they were received,
 // including the blank line at its end.
-type event struct {
-	raw   []byte
-	data  []byte
-	id    string
-	hasID bool
+type Event struct {
+	Raw   []byte
+	Data  []byte
+	ID    string
+	HasID bool
 }
 
-// eventReader reads complete events; a partial event at the end of the input is
+// EventReader reads complete events; a partial event at the end of the input is
 // an error, so that it is never passed on.
-type eventReader struct {
+type EventReader struct {
 	reader *bufio.Reader
 	max    int
 	raw    []byte
@@ -30,28 +30,29 @@
 }
 
 // eventReaders holds readers of ended streams with their buffers.
-var eventReaders = sync.Pool{New: func() any { return &eventReader{reader: bufio.NewReaderSize(nil, 8<<10)} }}
+var eventReaders = sync.Pool{New: func() any { return &EventReader{reader: bufio.NewReaderSize(nil, 8<<10)} }}
 
-func newEventReader(r io.Reader, limit int) *eventReader {
-	e := eventReaders.Get().(*eventReader)
+// NewEventReader returns a reader of events of at most limit bytes.
+func NewEventReader(r io.Reader, limit int) *EventReader {
+	e := eventReaders.Get().(*EventReader)
 	e.reader.Reset(r)
 	e.max = limit
 	return e
 }
 
-// release makes the reader available to other streams.
-func (r *eventReader) release() {
+// Release makes the reader available to other streams.
+func (r *EventReader) Release() {
 	r.reader.Reset(nil)
 	if cap(r.raw) <= 64<<10 { // a long event must not hold memory
 		eventReaders.Put(r)
 	}
 }
 
-// next returns the next event, valid until the following call. Its error is
+// Next returns the next event, valid until the following call. Its error is
 // io.EOF at a clean end and io.ErrUnexpectedEOF within an event.
-func (r *eventReader) next() (event, error) {
+func (r *EventReader) Next() (Event, error) {
 	r.raw, r.data = r.raw[:0], r.data[:0]
-	var e event
+	var e Event
 	lines := 0
 	for {
 		start := len(r.raw)
@@ -59,7 +60,7 @@
 			part, err := r.reader.ReadSlice('\n')
 			r.raw = append(r.raw, part...)
 			if len(r.raw) > r.max {
-				return event{}, boundError(fmt.Sprintf("event longer than %d bytes", r.max))
+				return Event{}, boundError(fmt.Sprintf("event longer than %d bytes", r.max))
 			}
 			if err == nil {
 				break
@@ -70,11 +71,11 @@
 			if err == io.EOF && len(r.raw) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
-			return event{}, err
+			return Event{}, err
 		}
 		line := bytes.TrimSuffix(bytes.TrimSuffix(r.raw[start:], []byte("\n")), []byte("\r"))
 		if len(line) == 0 {
-			e.raw, e.data = r.raw, r.data
+			e.Raw, e.Data = r.raw, r.data
 			return e, nil
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
@@ -88,14 +89,14 @@
 			r.data = append(r.data, value...)
 		case "id":
 			if bytes.IndexByte(value, 0) < 0 {
-				e.id, e.hasID = string(value), true
+				e.ID, e.HasID = string(value), true
 			}
 		}
 	}
 }
 
 // buffered tells that more bytes are available without waiting.
-func (r *eventReader) buffered() bool { return r.reader.Buffered() > 0 }
+func (r *EventReader) buffered() bool { return r.reader.Buffered() > 0 }
 
 // usage is the token count of the chat completions API.
 type usage struct {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,12 +1,12 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"mime"
+	"net"
 	"net/http"
-	"net/http/httptrace"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,32 +31,21 @@
 	first    time.Duration
 }
 
-// onceBody hides the type of a body, so that net/http can't rewind it. It would
-// repeat requests on its own when a reused connection breaks, which would run a
-// reservation twice and let one poison request crash a target twice.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
 // Send sends the attempt and waits for the head of a response that matches it.
 // Without one, the exchange is nil and the result is final.
 func (c *Client) Send(ctx context.Context, a Attempt) (*Exchange, Result) {
 	c.init()
 	started := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
-	watch := &writeWatch{}
-	r, err := c.newRequest(httptrace.WithClientTrace(ctx, watch.trace()), a)
+	call, err := c.call(a)
 	if err != nil {
 		cancel()
 		return nil, Result{Attempt: port.Attempt{Result: port.NotSent}, Err: err}
 	}
-	transport := c.pooled
-	if a.Once {
-		transport = c.fresh
-	}
-	response, err := transport.RoundTrip(r)
+	response, err := c.roundTrip(ctx, call)
 	if err != nil {
-		written := watch.giveUp()
+		var s *SendError
+		written := !errors.As(err, &s) || s.Written
 		result := Result{Attempt: port.Attempt{Result: brokenResult(ctx, a, time.Since(started)), Total: time.Since(started)}, Written: written, Err: err}
 		if !written {
 			result.Result = notSentResult(ctx)
@@ -80,37 +69,53 @@
 	return e, Result{}
 }
 
-func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
+// call returns the attempt as it is sent.
+func (c *Client) call(a Attempt) (Call, error) {
 	u, err := targetURL(a.Target, a.Path, a.Query)
 	if err != nil {
-		return nil, err
-	}
-	r := &http.Request{
-		Method: a.Method, URL: u, Host: u.Host, Header: a.Header.Clone(),
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		return Call{}, err
 	}
-	if r.Header == nil {
-		r.Header = http.Header{}
+	header := a.Header.Clone()
+	if header == nil {
+		header = http.Header{}
 	}
-	r.Header.Set(request.AttemptHeader, a.Identity.String())
-	if r.Header.Get("User-Agent") == "" {
-		r.Header["User-Agent"] = nil // keeps net/http from adding its own
-	}
-	if key, ok := r.Header["Idempotency-Key"]; ok {
-		// net/http takes a request with the canonical name for repeatable.
-		delete(r.Header, "Idempotency-Key")
-		r.Header["idempotency-key"] = key
+	header.Set(request.AttemptHeader, a.Identity.String())
+	return Call{
+		Address: address(u), Key: a.Target.Name + " " + u.Host, TLS: u.Scheme == "https", Fresh: a.Once,
+		Method: a.Method, URI: u.RequestURI(), Host: u.Host, Header: header, Body: a.Body,
+	}, nil
+}
+
+// AddressOf returns host and port of the target, empty if its URL is not valid.
+func AddressOf(t config.Target) string {
+	u, err := url.Parse(t.URL)
+	if err != nil {
+		return ""
 	}
-	switch a.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		r.Body = onceBody{bytes.NewReader(a.Body)} // nothing is sent if it is empty
-	default:
-		if len(a.Body) > 0 {
-			r.Body = onceBody{bytes.NewReader(a.Body)}
+	return address(u)
+}
+
+// address returns host and port of the URL.
+func address(u *url.URL) string {
+	port := u.Port()
+	if port == "" {
+		port = "80"
+		if u.Scheme == "https" {
+			port = "443"
 		}
 	}
-	r.ContentLength = int64(len(a.Body))
-	return r.WithContext(ctx), nil
+	return net.JoinHostPort(u.Hostname(), port)
+}
+
+// roundTrip sends the call and returns the response, whose body must be closed.
+func (c *Client) roundTrip(ctx context.Context, call Call) (*http.Response, error) {
+	reply, err := c.pool.Send(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	response := *reply.Response
+	response.Body = reply
+	return &response, nil
 }
 
 // brokenResult classifies an attempt without a complete response. A deadline that
