--- a/mirror/view.go
+++ b/mirror/view.go
@@ -69,10 +69,13 @@
 	f, err := m.decode(e.Entry)
 	if err != nil {
 		m.Logger.Warn().Err(err).Str("key", e.Entry.Key).Int64("revision", e.Entry.Revision).Msg("entry unreadable")
-		if t, isTarget := m.Gone(e.Entry.Key).(Target); isTarget {
-			delete(v.Targets, t.Name)
+		v.entries[e.Entry.Key] = e.Entry
+		t, isTarget := m.Gone(e.Entry.Key).(Target)
+		if !isTarget {
+			return nil
 		}
-		return nil
+		delete(v.Targets, t.Name)
+		return t
 	}
 	if f == nil {
 		return nil
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -33,6 +33,8 @@
 	// denialAge is the age of the configuration above which a key or route that
 	// it lacks may exist: the request is then refused instead of denied.
 	denialAge = 2500 * time.Millisecond
+	// maxDiscard bounds what is read of a body that is too large.
+	maxDiscard = 2 << 20
 	// stopRetry is what callers of a daemon that stops are told: others are ready.
 	stopRetry = 50 * time.Millisecond
 	// defaultBody bounds bodies while the configuration sets no bound.
@@ -166,6 +168,7 @@
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
 	}
 	if r.ContentLength > most {
+		_, _ = io.CopyN(io.Discard, r.Body, maxDiscard) // else the caller may see a reset before the answer
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
 	if h.buffered.Load()+max(r.ContentLength, 0) > h.MaxBuffered {
--- a/standin/command.go
+++ b/standin/command.go
@@ -41,7 +41,7 @@
 		Short:        "Run a stand-in of a system around the fleet",
 		SilenceUsage: true,
 	}
-	c.AddCommand(keyValueCommand(), hostListCommand(), engineCommand(), serviceCommand())
+	c.AddCommand(keyValueCommand(), metadataCommand(), hostListCommand(), engineCommand(), serviceCommand())
 	return c
 }
 
@@ -123,6 +123,11 @@
 		func() controlled[KeyValueFault] { return NewKeyValue() })
 }
 
+func metadataCommand() *cobra.Command {
+	return newServerCommand("metadata", "Metadata store of the platform's machines, in memory",
+		func() controlled[MetadataFault] { return NewMetadata() })
+}
+
 func hostListCommand() *cobra.Command {
 	var lag time.Duration
 	c := newServerCommand("host-list", "Host list, empty until POST /admin/hosts",
