--- /dev/null
+++ b/upstream/pool_test.go
@@ -0,0 +1,248 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+// rawTarget answers each request with raw bytes.
+type rawTarget struct {
+	net.Listener
+	mu    sync.Mutex
+	conns int
+	ids   []string
+}
+
+// step answers one request, and tells whether the connection goes on.
+type step func(c *net.TCPConn, r *http.Request) bool
+
+// newRawTarget serves connections with the steps in turn, counted over all
+// connections; the last one is repeated.
+func newRawTarget(t *testing.T, steps ...step) *rawTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	target := &rawTarget{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			target.mu.Lock()
+			target.conns++
+			target.mu.Unlock()
+			go target.serve(c.(*net.TCPConn), steps)
+		}
+	}()
+	return target
+}
+
+func (x *rawTarget) serve(c *net.TCPConn, steps []step) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		x.mu.Lock()
+		n := len(x.ids)
+		x.ids = append(x.ids, r.Header.Get("Id"))
+		x.mu.Unlock()
+		if !steps[min(n, len(steps)-1)](c, r) {
+			return
+		}
+	}
+}
+
+func (x *rawTarget) counts() (conns int, ids []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.conns, append([]string(nil), x.ids...)
+}
+
+// say answers with bytes in which ID stands for the request's id.
+func say(raw string) step {
+	return func(c *net.TCPConn, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, strings.ReplaceAll(raw, "ID", r.Header.Get("Id")))
+		return true
+	}
+}
+
+// end does the step and ends the connection after it.
+func end(s step) step {
+	return func(c *net.TCPConn, r *http.Request) bool {
+		s(c, r)
+		return false
+	}
+}
+
+// reset does the step and resets the connection after it.
+func reset(s step) step {
+	return func(c *net.TCPConn, r *http.Request) bool {
+		s(c, r)
+		time.Sleep(20 * time.Millisecond) // the bytes arrive before the reset
+		_ = c.SetLinger(0)
+		return false
+	}
+}
+
+const (
+	own     = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok"
+	foreign = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother"
+)
+
+// get sends a request with the id and returns its body.
+func get(p *Pool, x *rawTarget, id, body string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	reply, err := p.Send(ctx, Call{
+		Address: x.Addr().String(), Key: "t", Method: http.MethodPost, URI: "/", Host: "t",
+		Header: http.Header{"Id": {id}}, Body: []byte(body),
+		Ours: func(r *http.Response) bool { return r.Header.Get("Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = reply.Close() }()
+	data, err := io.ReadAll(reply)
+	return string(data), err
+}
+
+// Guards against bytes of a target that are passed on as the response to a
+// request that they don't belong to, or as complete when they are not.
+func TestRawResponses(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer step
+		want   string // body, or the error after "error: "
+	}{
+		"whole":                  {say(own), "ok"},
+		"chunks":                 {say("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), "ok"},
+		"after a foreign one":    {say(foreign + own), "ok"},
+		"after two foreign ones": {say(foreign + foreign + own), "ok"},
+		"only foreign":           {end(say(foreign)), "error"},
+		"after foreign unframed": {end(say("HTTP/1.1 200 OK\r\nId: other\r\n\r\nother")), "error"},
+		"after an interim one":   {say("HTTP/1.1 100 Continue\r\n\r\n" + own), "ok"},
+		"truncated":              {end(say("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\nok")), "error"},
+		"truncated chunk":        {end(say("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok")), "error"},
+		"without last chunk":     {end(say("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")), "error"},
+		"unframed":               {end(say("HTTP/1.1 200 OK\r\nId: ID\r\n\r\nok")), "ok"},
+		"unframed and reset":     {reset(say("HTTP/1.1 200 OK\r\nId: ID\r\n\r\nok")), "error"},
+		"garbage":                {end(say("\x00\x01garbage\r\n\r\n")), "error"},
+		"nothing":                {end(say("")), "error"},
+		"reset":                  {reset(say("")), "error"},
+		"silence":                {say(""), "error"},
+		"endless head":           {say("HTTP/1.1 200 OK\r\n" + strings.Repeat("X: "+strings.Repeat("x", 1000)+"\r\n", 100)), "error"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newRawTarget(t, c.answer)
+			body, err := get(&Pool{}, x, "a", "")
+			if c.want == "error" {
+				qt.Assert(t, err, qt.IsNotNil, qt.Commentf("body %q", body))
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, body, qt.Equals, c.want)
+		})
+	}
+}
+
+// Guards against a second request on a connection on which bytes may still
+// come or be expected.
+func TestReuse(t *testing.T) {
+	early := func(c *net.TCPConn, r *http.Request) bool { // answers before it has read the body
+		_, _ = io.WriteString(c, strings.ReplaceAll(own, "ID", r.Header.Get("Id")))
+		time.Sleep(30 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, r.Body)
+		return true
+	}
+	for name, c := range map[string]struct {
+		steps []step
+		body  string
+		pause time.Duration
+		conns int
+	}{
+		"kept":                 {[]step{say(own)}, "", 0, 1},
+		"extra bytes":          {[]step{say(own + foreign), say(own)}, "", 20 * time.Millisecond, 2},
+		"closing":              {[]step{say(strings.Replace(own, "Id:", "Connection: close\r\nId:", 1)), say(own)}, "", 0, 2},
+		"closed meanwhile":     {[]step{end(say(own)), say(own)}, "", 20 * time.Millisecond, 2},
+		"unframed":             {[]step{end(say("HTTP/1.1 200 OK\r\nId: ID\r\n\r\nok")), say(own)}, "", 0, 2},
+		"early to a long body": {[]step{early, say(own)}, strings.Repeat("x", 4<<20), 0, 2},
+		"short time":           {[]step{say(strings.Replace(own, "Id:", "Keep-Alive: timeout=1\r\nId:", 1)), say(own)}, "", 400 * time.Millisecond, 2},
+		"long time":            {[]step{say(strings.Replace(own, "Id:", "Keep-Alive: timeout=9\r\nId:", 1)), say(own)}, "", 400 * time.Millisecond, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newRawTarget(t, c.steps...)
+			p := &Pool{}
+			for _, id := range []string{"a", "b"} {
+				body, err := get(p, x, id, c.body)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, body, qt.Equals, "ok")
+				time.Sleep(c.pause)
+				c.body = ""
+			}
+			conns, ids := x.counts()
+			qt.Assert(t, conns, qt.Equals, c.conns)
+			qt.Assert(t, ids, qt.DeepEquals, []string{"a", "b"})
+		})
+	}
+}
+
+// Guards against a wrong statement of whether a target may have run a request.
+func TestWritten(t *testing.T) {
+	written := func(err error) (bool, bool) {
+		var s *SendError
+		errors.As(err, &s)
+		return s.Written, s.Dial
+	}
+	t.Run("refused", func(t *testing.T) {
+		x := newRawTarget(t, say(own))
+		_ = x.Close()
+		_, err := get(&Pool{}, x, "a", "")
+		w, d := written(err)
+		qt.Assert(t, fmt.Sprint(w, d), qt.Equals, "false true")
+	})
+	t.Run("no response", func(t *testing.T) {
+		_, err := get(&Pool{}, newRawTarget(t, end(say(""))), "a", "")
+		w, d := written(err)
+		qt.Assert(t, fmt.Sprint(w, d), qt.Equals, "true false")
+	})
+	t.Run("given up before", func(t *testing.T) {
+		x := newRawTarget(t, say(own))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := (&Pool{}).Send(ctx, Call{Address: x.Addr().String(), Method: "GET", URI: "/"})
+		w, _ := written(err)
+		qt.Assert(t, w, qt.IsFalse)
+	})
+}
+
+// Guards against connections that are counted though they are closed.
+func TestOpenConnections(t *testing.T) {
+	x := newRawTarget(t, say(own), end(say("")), say(own))
+	p := &Pool{}
+	_, err := get(p, x, "a", "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.Open("t"), qt.Equals, 1)
+	_, err = get(p, x, "b", "")
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, p.Open("t"), qt.Equals, 0)
+	_, err = get(p, x, "c", "")
+	qt.Assert(t, err, qt.IsNil)
+	p.Trim(func(string) bool { return false })
+	qt.Assert(t, p.Open("t"), qt.Equals, 0)
+}
