Keep up on small machines of a large fleet

Cause: at 75 machines, one machine got most requests of one account and took 1 ms of processor time for each: every request summed the reports of 74 peers, and the choice among 140 targets went through maps.

Ruled out: the directory; it named all ready machines of the zone. One account's callers use one machine by themselves.

Change: the sum is made ten times a second at most; the choice uses slices; events that arrived together are flushed together; a machine whose timers are late leaves the directory and refuses new requests; before a request is sent, the caller's socket is looked at; an idle connection with unread bytes isn't closed.

Tried and mended: events held for a later flush were lost when the stream broke (TestStreams).

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -75,6 +75,7 @@
 	handler   *relay.Handler
 	links     *link.Server
 	callers   *callers
+	overload  overload
 	reloading sync.Mutex
 	loaded    setting.Machine // as last read
 }
@@ -91,12 +92,14 @@
 	}
 	d.poison = &quarantine.Registry{}
 	d.table = &placement.Table{
-		Self: s.Name, Domain: s.FailureDomain, Daemons: d.daemons, Work: d.othersWork, ColdRate: d.coldRate,
+		Self: s.Name, Domain: s.FailureDomain, Daemons: d.daemons, Work: func() map[string]placement.Work { return d.exchange.Totals().Targets }, ColdRate: d.coldRate,
 	}
 	d.mirror = &mirror.Mirror{
 		Poller: d.Store, Decode: platform.Decode, Gone: platform.Gone, Changed: d.changed, Logger: d.Logger,
 	}
-	d.admission = &admission.Control{Others: d.othersRates}
+	d.admission = &admission.Control{
+		Others: func() map[string]admission.Rate { return d.exchange.Totals().Accounts },
+	}
 	d.exchange = &exchange.Exchange{
 		Self: d.self, Link: &link.Client{}, Mirror: d.mirror, Marks: d.poison, Seeds: s.Seeds,
 		Status: func() (bool, bool) { return d.ready(), d.leaving.Load() }, Report: d.report, Logger: d.Logger,
@@ -107,7 +110,7 @@
 		Scheduler: &placement.Scheduler{Table: d.table, Admission: d.admission, Engine: d.engine},
 		Poison:    d.poison, Retries: &routing.Budget{Span: s.RetryWindow, Ratio: s.RetryRatio * retryPart, Slack: d.retrySlack},
 		Pool: d.pool, Crashes: &relay.Crashes{Poison: d.poison, Marked: d.exchange.Announce, Logger: d.Logger},
-		KeyAge: max(s.RevokeTime-keyMargin, 0), Leaving: d.leaving.Load,
+		KeyAge: max(s.RevokeTime-keyMargin, 0), Leaving: d.away, Overloaded: d.overload.refusing, Left: d.callers.left,
 		MaxBuffered: int64(s.MemoryMB) << 20 / bufferedPart, Logger: d.Logger,
 	}
 	d.callers = &callers{idle: d.idleTime}
@@ -129,7 +132,7 @@
 	parts, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, parts := errgroup.WithContext(parts)
-	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim} {
+	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload} {
 		g.Go(func() error { return run(parts) })
 	}
 	for _, s := range servers {
@@ -191,7 +194,7 @@
 			Handler: h.handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: maxHeaderTime,
 		}
 		if h.name == "frontend" {
-			hs.ConnState = d.callers.changed
+			hs.ConnState, hs.ConnContext = d.callers.changed, d.callers.keep
 		}
 		servers = append(servers, server{h.name, hs, l})
 	}
@@ -216,6 +219,14 @@
 	return nil
 }
 
+// watchOverload tells the others when this machine doesn't keep up.
+func (d *Daemon) watchOverload(ctx context.Context) error {
+	return d.overload.run(ctx, func(overloaded bool, lag time.Duration) {
+		d.Logger.Warn().Bool("overloaded", overloaded).Dur("lag", lag).Int64("active", d.handler.Active()).Msg("overload changed")
+		d.exchange.Announce()
+	})
+}
+
 // changed takes a new view of the store.
 func (d *Daemon) changed(v *mirror.View, facts []mirror.Fact) {
 	d.table.Update(v)
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -4,11 +4,9 @@
 	"math/rand/v2"
 	"time"
 
-	"rattanline.example/rattanline/admission"
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/exchange"
-	"rattanline.example/rattanline/placement"
 	"rattanline.example/rattanline/platform"
 )
 
@@ -16,8 +14,6 @@
 	// settleTime is how long after its start a daemon learns of the others before
 	// it sends to cold targets.
 	settleTime = 1500 * time.Millisecond
-	// reportTime is how long a peer's report counts.
-	reportTime = 1500 * time.Millisecond
 	// retryPart is the part of the retry budget that daemons use, because their
 	// windows are counted apart.
 	retryPart = 0.8
@@ -34,9 +30,12 @@
 
 // ready tells whether callers may connect.
 func (d *Daemon) ready() bool {
-	return !d.leaving.Load() && d.mirror.View().Index != nil && (d.handler.KeyAge == 0 || d.age() <= d.handler.KeyAge)
+	return !d.away() && d.mirror.View().Index != nil && (d.handler.KeyAge == 0 || d.age() <= d.handler.KeyAge)
 }
 
+// away tells that callers should move to other daemons.
+func (d *Daemon) away() bool { return d.leaving.Load() || d.overload.leaving.Load() }
+
 // daemons returns the names of all daemons that may send to targets.
 func (d *Daemon) daemons() []string {
 	now := clock.Now()
@@ -57,45 +56,8 @@
 	return list
 }
 
-func (d *Daemon) othersWork() map[string]placement.Work {
-	now := clock.Now()
-	sum := map[string]placement.Work{}
-	for _, p := range d.exchange.Peers() {
-		if now.Sub(p.Heard) > reportTime {
-			continue
-		}
-		for name, w := range p.Message.Report.Targets {
-			s := sum[name]
-			sum[name] = placement.Work{Requests: s.Requests + w.Requests, Prompt: s.Prompt + w.Prompt}
-		}
-	}
-	return sum
-}
-
-func (d *Daemon) othersRates() map[string]admission.Rate {
-	now := clock.Now()
-	sum := map[string]admission.Rate{}
-	for _, p := range d.exchange.Peers() {
-		if now.Sub(p.Heard) > reportTime {
-			continue
-		}
-		for name, r := range p.Message.Report.Accounts {
-			s := sum[name]
-			sum[name] = admission.Rate{Asked: s.Asked + r.Asked, Served: s.Served + r.Served}
-		}
-	}
-	return sum
-}
-
 func (d *Daemon) report() exchange.Report {
-	r := exchange.Report{Accounts: map[string]exchange.AccountRate{}, Targets: map[string]exchange.Work{}}
-	for name, rate := range d.admission.Rates(clock.Now()) {
-		r.Accounts[name] = exchange.AccountRate(rate)
-	}
-	for name, w := range d.table.InFlight() {
-		r.Targets[name] = exchange.Work(w)
-	}
-	return r
+	return exchange.Report{Accounts: d.admission.Rates(clock.Now()), Targets: d.table.InFlight()}
 }
 
 func (d *Daemon) coldRate(service string) (float64, time.Duration) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -24,6 +24,10 @@
 	LiveTime = 2500 * time.Millisecond
 	// forgetTime is how long a silent peer is counted among those that may send.
 	forgetTime = 30 * time.Second
+	// reportTime is how long a peer's report counts.
+	reportTime = 1500 * time.Millisecond
+	// totalsTime is how long a sum of reports is used: each request asks for it.
+	totalsTime = 100 * time.Millisecond
 	// markTime is how long a mark is sent after its crash.
 	markTime = 5 * time.Second
 	// fanOut bounds the calls of one round.
@@ -58,6 +62,9 @@
 	turn  int
 	wake  chan struct{}
 	live  map[string]bool
+	// totals is the sum of the reports at the moment summed.
+	totals Report
+	summed clock.Instant
 }
 
 func (x *Exchange) init() {
@@ -236,6 +243,24 @@
 	return peers
 }
 
+// Totals returns the sum of the newest reports of the other daemons. Callers
+// must not change it.
+func (x *Exchange) Totals() Report {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := clock.Now()
+	if now.Sub(x.summed) < totalsTime {
+		return x.totals
+	}
+	x.summed, x.totals = now, newReport()
+	for _, p := range x.peers {
+		if now.Sub(p.Heard) <= reportTime {
+			x.totals.add(p.Message.Report)
+		}
+	}
+	return x.totals
+}
+
 // Live tells whether the peer spoke within the time in which it counts as live.
 func (p Peer) Live(now clock.Instant) bool { return now.Sub(p.Heard) <= LiveTime }
 
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"rattanline.example/rattanline/admission"
+	"rattanline.example/rattanline/placement"
 	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/quarantine"
 )
@@ -43,15 +45,26 @@
 	Targets map[string]Work
 }
 
-// AccountRate is the work of an account in cost per second.
-type AccountRate struct {
-	Asked  float64
-	Served float64
+// Report values are those of the packages that use them.
+type (
+	// AccountRate is the work of an account per second.
+	AccountRate = admission.Rate
+	// Work is what one daemon has in flight at a target.
+	Work = placement.Work
+)
+
+func newReport() Report {
+	return Report{Accounts: map[string]AccountRate{}, Targets: map[string]Work{}}
 }
 
-// Work is what one daemon has in flight at a target.
-type Work struct {
-	Requests int
-	// Prompt is the number of prompt tokens that aren't known to be read yet.
-	Prompt float64
+// add adds another report.
+func (r Report) add(o Report) {
+	for name, rate := range o.Accounts {
+		sum := r.Accounts[name]
+		r.Accounts[name] = AccountRate{Asked: sum.Asked + rate.Asked, Served: sum.Served + rate.Served}
+	}
+	for name, w := range o.Targets {
+		sum := r.Targets[name]
+		r.Targets[name] = Work{Requests: sum.Requests + w.Requests, Prompt: sum.Prompt + w.Prompt}
+	}
 }
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -74,16 +74,17 @@
 	if len(usable) == 0 {
 		return Choice{}, listed, false
 	}
-	home := homeOf(q, usable)
-	keepers := keepersOf(q, usable, home, now)
+	kept := keptBy(q, usable, now)
 	var best Choice
 	var bestTarget *target
 	var bestCost time.Duration
-	for _, g := range usable {
-		if now < t.coldEnd(g) && !t.mayWarm(g, now, daemons) {
+	for i, g := range usable {
+		cold := now < t.coldEnd(g)
+		if cold && !t.mayWarm(g, now, daemons) {
 			continue
 		}
-		c, fetch := t.weigh(g, q, now, others[g.Name], keepers)
+		c, fetch := t.weigh(g, q, now, others[g.Name], kept.at(i, usable))
+		c.Cold = cold
 		cost := c.Wait + t.penalty(g) + time.Duration(fetchPenalty*float64(fetch))
 		// Equal costs are frequent where nothing is in flight.
 		if bestTarget == nil || cost < bestCost || cost == bestCost && rand.IntN(2) == 0 {
@@ -127,18 +128,19 @@
 	return fresh, listed
 }
 
-// homeOf returns the target that keeps the shared parts of the prompt: all
-// daemons pick the same by hashing, so that no message is needed.
-func homeOf(q Query, usable []*target) *target {
+// homeOf returns the index of the target that keeps the shared parts of the
+// prompt, negative if there is none: all daemons pick the same by hashing, so
+// that no message is needed.
+func homeOf(q Query, usable []*target) int {
 	if !q.Engine || len(q.Demand.Parts) == 0 {
-		return nil
+		return -1
 	}
 	deepest := q.Demand.Parts[max(len(q.Demand.Parts)-2, 0)].ID
-	var home *target
+	home := -1
 	var most uint64
-	for _, g := range usable {
-		if w := rank(deepest, g.Name); home == nil || w > most {
-			home, most = g, w
+	for i, g := range usable {
+		if w := rank(deepest, g.Name); home < 0 || w > most {
+			home, most = i, w
 		}
 	}
 	return home
@@ -152,34 +154,69 @@
 	return d.Sum64()
 }
 
-// keeper is a target with the number of the prompt's tokens that it keeps.
-type keeper struct {
-	target *target
-	tokens int
+// keepers tells how many of a prompt's tokens each target is taken to keep.
+type keepers struct {
+	tokens []int // what it is taken to keep, by the index of the target
+	known  []int // what this daemon sent there
+	// first and second are the indexes of those that keep most, negative if there
+	// are none.
+	first, second int
 }
 
-// keepersOf returns what the targets are taken to keep of the prompt: what this
+// keeping is what matters of the keepers when one target is weighed.
+type keeping struct {
+	kept, known int
+	// most is what another target keeps, source its address.
+	most   int
+	source string
+}
+
+// keptBy returns what the targets are taken to keep of the prompt: what this
 // daemon sent there, and all shared parts at their home.
-func keepersOf(q Query, usable []*target, home *target, now clock.Instant) map[*target]int {
+func keptBy(q Query, usable []*target, now clock.Instant) keepers {
+	k := keepers{first: -1, second: -1}
 	if !q.Engine {
-		return nil
+		return k
+	}
+	k.tokens, k.known = make([]int, len(usable)), make([]int, len(usable))
+	for i, g := range usable {
+		k.known[i] = g.parts.kept(now, q.Demand.Parts)
+		k.tokens[i] = k.known[i]
 	}
-	kept := make(map[*target]int, len(usable))
-	for _, g := range usable {
-		if n := g.parts.kept(now, q.Demand.Parts); n > 0 {
-			kept[g] = n
+	if home := homeOf(q, usable); home >= 0 {
+		k.tokens[home] = max(k.tokens[home], shared(q.Demand.Parts))
+	}
+	for i, tokens := range k.tokens {
+		switch {
+		case tokens == 0:
+		case k.first < 0 || tokens > k.tokens[k.first]:
+			k.first, k.second = i, k.first
+		case k.second < 0 || tokens > k.tokens[k.second]:
+			k.second = i
 		}
 	}
-	if home != nil {
-		kept[home] = max(kept[home], shared(q.Demand.Parts))
+	return k
+}
+
+func (k keepers) at(i int, usable []*target) keeping {
+	if k.tokens == nil {
+		return keeping{}
+	}
+	other := k.first
+	if other == i {
+		other = k.second
+	}
+	at := keeping{kept: k.tokens[i], known: k.known[i]}
+	if other >= 0 {
+		at.most, at.source = k.tokens[other], usable[other].Address
 	}
-	return kept
+	return at
 }
 
 // weigh returns what it means to send the request to the target, and the time
 // that fetching kept parts takes.
-func (t *Table) weigh(g *target, q Query, now clock.Instant, others Work, kept map[*target]int) (Choice, time.Duration) {
-	c := Choice{Target: g.Target, Cold: now < t.coldEnd(g)}
+func (t *Table) weigh(g *target, q Query, now clock.Instant, others Work, k keeping) (Choice, time.Duration) {
+	c := Choice{Target: g.Target}
 	requests := g.work.Requests + others.Requests
 	if !q.Engine {
 		slots := max(g.Slots, 1)
@@ -189,19 +226,13 @@
 		c.Wait = plainTime * time.Duration(requests+1) / time.Duration(slots)
 		return c, 0
 	}
-	most := keeper{}
-	for o, tokens := range kept {
-		if o != g && tokens > most.tokens {
-			most = keeper{o, tokens}
-		}
-	}
-	fetched := max(most.tokens-kept[g], 0)
+	fetched := max(k.most-k.kept, 0)
 	// What the home keeps is only presumed, so a source is named there too.
-	if most.tokens > g.parts.kept(now, q.Demand.Parts) {
-		c.Source = most.target.Address
+	if k.most > k.known {
+		c.Source = k.source
 	}
 	fetch := time.Duration(float64(fetched) / fetchRate * float64(time.Second))
-	c.Prompt = float64(max(q.Demand.Prompt-kept[g]-fetched, 1))
+	c.Prompt = float64(max(q.Demand.Prompt-k.kept-fetched, 1))
 	backlog := g.work.Prompt + others.Prompt + c.Prompt
 	c.Wait = time.Duration(backlog/readRate*float64(time.Second)) + requestTime*time.Duration(requests) + fetch
 	return c, fetch
--- a/relay/call.go
+++ b/relay/call.go
@@ -115,6 +115,9 @@
 		c.refuseOr(r)
 		return done, nil
 	}
+	if c.handler.Left(ctx) {
+		return done, nil
+	}
 	slot, err := c.handler.Scheduler.Acquire(ctx, port.Job{
 		RequestID: c.demand.ID, Account: c.account, Service: c.service, Urgent: true, Deadline: c.deadline,
 		Cost: c.demand.Work(), Bytes: int64(len(c.body)), Avoid: c.tried, Fingerprint: c.fingerprint,
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -154,6 +154,9 @@
 			return c.complete()
 		}
 		if err != nil {
+			if c.committed { // what has arrived must not wait for a resumption
+				_ = controller.Flush()
+			}
 			return c.streamBroke(err)
 		}
 		if first {
@@ -166,6 +169,9 @@
 		if _, err := c.writer.Write(event.Raw); err != nil {
 			return c.callerLeft(err)
 		}
+		if reader.Buffered() {
+			continue // more events are at hand
+		}
 		if err := controller.Flush(); err != nil {
 			return c.callerLeft(err)
 		}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -58,6 +58,10 @@
 	KeyAge time.Duration
 	// Leaving tells that callers should move to other daemons.
 	Leaving func() bool
+	// Overloaded tells that new requests are refused, because they would be late.
+	Overloaded func() bool
+	// Left tells that the caller of the request with the context has left.
+	Left func(context.Context) bool
 	// Closed tells that new requests are refused, because the daemon ends soon.
 	Closed atomic.Bool
 	// MaxBuffered bounds the bodies held by all requests together, in bytes.
@@ -103,6 +107,9 @@
 	if h.Closed.Load() {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "this daemon stops", retry: stopRetry, close: true}
 	}
+	if h.Overloaded() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "this daemon is overloaded", retry: stopRetry, close: true}
+	}
 	if v.Index == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: startRetry}
 	}
--- /dev/null
+++ b/socket/socket.go
@@ -0,0 +1,48 @@
+// Package socket looks at connections without reading from them.
+package socket
+
+import (
+	"crypto/tls"
+	"net"
+	"syscall"
+)
+
+// State is what has arrived on a connection and was not read yet.
+type State int
+
+// The states of a connection.
+const (
+	Quiet   State = iota // open, nothing has arrived
+	Pending              // bytes have arrived
+	Closed               // the peer has closed it, or it can't be looked at
+)
+
+// StateOf returns the state of a TCP connection, with or without TLS.
+func StateOf(c net.Conn) State {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return Closed
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return Closed
+	}
+	state := Closed
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN:
+			state = Quiet
+		case err == nil && n > 0:
+			state = Pending
+		}
+	})
+	if err != nil {
+		return Closed
+	}
+	return state
+}
--- a/upstream/event.go
+++ b/upstream/event.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// buffered tells that more bytes are available without waiting.
-func (r *EventReader) buffered() bool { return r.reader.Buffered() > 0 }
+// Buffered tells that more bytes are available without waiting.
+func (r *EventReader) Buffered() bool { return r.reader.Buffered() > 0 }
 
 // usage is the token count of the chat completions API.
 type usage struct {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -13,10 +13,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/socket"
 )
 
 const (
@@ -325,22 +326,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	socket := c.Conn
-	if t, ok := socket.(*tls.Conn); ok {
-		socket = t.NetConn()
-	}
-	raw, err := socket.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var b [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	return socket.StateOf(c.Conn) == socket.Quiet
 }
 
 func (p *Pool) pop(key string) *conn {
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -117,7 +117,7 @@
 			}
 			s.lastID, s.hasID = ev.ID, true
 		}
-		if flusher != nil && !reader.buffered() {
+		if flusher != nil && !reader.Buffered() {
 			if err := flusher.Flush(); err != nil {
 				return writeError{err}
 			}
