--- a/command/document.go
+++ b/command/document.go
@@ -13,6 +13,7 @@
 
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/operator"
+	"rattanline.example/rattanline/platform"
 	"rattanline.example/rattanline/submission"
 )
 
@@ -42,9 +43,13 @@
 }
 
 func check() *cobra.Command {
-	return described("check", &cobra.Command{
+	machine := false
+	c := described("check", &cobra.Command{
 		Use: "check FILE", Args: exactly(1),
 		RunE: func(command *cobra.Command, args []string) error {
+			if machine {
+				return checkSettings(command, args[0])
+			}
 			d, err := readDocument(command, args[0])
 			if err != nil {
 				return err
@@ -54,6 +59,18 @@
 			return nil
 		},
 	})
+	c.Flags().BoolVar(&machine, "settings", false, "FILE is the settings file of one of the platform's machines")
+	return c
+}
+
+// checkSettings checks the settings file of a machine.
+func checkSettings(command *cobra.Command, name string) error {
+	m, err := platform.LoadSettings(name)
+	if err != nil {
+		return &Exit{CodeFailure, errors.New(eachLine(name, err))}
+	}
+	fmt.Fprintf(command.OutOrStdout(), "valid: %s in %s, store %s, %d seeds\n", m.Name, m.FailureDomain, m.StoreAddress, len(m.Seeds))
+	return nil
 }
 
 func submit(c *connection) *cobra.Command {
--- a/edge/member.go
+++ b/edge/member.go
@@ -25,7 +25,7 @@
 		pause := renewInterval
 		if err != nil {
 			pause = registerRetry
-			if listed {
+			if listed && ctx.Err() == nil {
 				d.Logger.Warn().Err(err).Str("dependency", "membership").Msg("dependency lost")
 			}
 		} else if !listed {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -81,7 +81,7 @@
 			after = -1
 			continue
 		}
-		if m.connected.Swap(false) {
+		if ctx.Err() == nil && m.connected.Swap(false) {
 			m.Logger.Warn().Err(err).Str("dependency", "key-value").Int64("revision", after).Msg("dependency lost")
 		}
 		select {
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -49,6 +49,9 @@
 	if err != nil {
 		reason = err.Error()
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return // the caller has left; log says so
+	}
 	status := http.StatusBadGateway
 	if errors.Is(context.Cause(ctx), errDeadline) {
 		status, reason = http.StatusGatewayTimeout, "timeout: "+reason
