Let a few daemons of each failure domain poll the store

Change: from 16 peers on, two daemons of each failure domain (by rank) poll; the others take changes and the proof of freshness from them in each round, and poll themselves when the proof is older than 2.2 s. A copy keeps its newest changes, so that they need not be sent as a whole.

Fleets of 9 are as before.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -95,14 +95,14 @@
 		Self: s.Name, Domain: s.FailureDomain, Daemons: d.daemons, Work: func() map[string]placement.Work { return d.exchange.Totals().Targets }, ColdRate: d.coldRate,
 	}
 	d.mirror = &mirror.Mirror{
-		Poller: d.Store, Decode: platform.Decode, Gone: platform.Gone, Changed: d.changed, Logger: d.Logger,
+		Poller: d.Store, Decode: platform.Decode, Gone: platform.Gone, Changed: d.changed, Reading: d.reading, Logger: d.Logger,
 	}
 	d.admission = &admission.Control{
 		Others: func() map[string]admission.Rate { return d.exchange.Totals().Accounts },
 	}
 	d.exchange = &exchange.Exchange{
 		Self: d.self, Link: &link.Client{}, Mirror: d.mirror, Marks: d.poison, Seeds: s.Seeds,
-		Status: func() (bool, bool) { return d.ready(), d.leaving.Load() }, Report: d.report, Logger: d.Logger,
+		Status: func() (bool, bool) { return d.ready(), d.leaving.Load() }, Report: d.report, Reading: d.reading, Logger: d.Logger,
 	}
 	d.pool = &upstream.Pool{Opened: connections.Inc}
 	d.handler = &relay.Handler{
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -17,6 +17,9 @@
 	// retryPart is the part of the retry budget that daemons use, because their
 	// windows are counted apart.
 	retryPart = 0.8
+	// readAge is the age of the copy above which a daemon polls the store though
+	// others should: a reader's proof is up to a second old when it is passed on.
+	readAge = 2200 * time.Millisecond
 	// addressTime is how long callers keep the addresses they were told.
 	addressTime = time.Second
 	// maxAddresses bounds the addresses in one answer.
@@ -36,6 +39,10 @@
 // away tells that callers should move to other daemons.
 func (d *Daemon) away() bool { return d.leaving.Load() || d.overload.leaving.Load() }
 
+// reading tells whether this daemon polls the store itself: it is one of its
+// failure domain's readers, or doesn't hear from them.
+func (d *Daemon) reading() bool { return d.age() > readAge || d.exchange.Reader() }
+
 // daemons returns the names of all daemons that may send to targets.
 func (d *Daemon) daemons() []string {
 	now := clock.Now()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,12 +1,14 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"rattanline.example/rattanline/clock"
@@ -30,6 +32,10 @@
 	totalsTime = 100 * time.Millisecond
 	// markTime is how long a mark is sent after its crash.
 	markTime = 5 * time.Second
+	// smallFleet is the number of peers below which every daemon polls the
+	// key-value service, readersPerDomain how many of a failure domain do above it.
+	smallFleet       = 16
+	readersPerDomain = 2
 	// fanOut bounds the calls of one round.
 	fanOut = 16
 )
@@ -55,7 +61,10 @@
 	// Status tells whether this daemon is ready, and whether it is leaving.
 	Status func() (ready, leaving bool)
 	Report func() Report
-	Logger zerolog.Logger
+	// Reading tells whether this daemon polls the key-value service; the others
+	// ask the Readers of their failure domain in each round.
+	Reading func() bool
+	Logger  zerolog.Logger
 
 	mu    sync.Mutex
 	peers map[string]*Peer // by name
@@ -143,21 +152,59 @@
 	if len(all) <= fanOut {
 		return all
 	}
-	chosen := make([]string, 0, fanOut)
-	for range fanOut {
+	chosen := x.readers(now)
+	for len(chosen) < fanOut {
 		x.turn++
 		chosen = append(chosen, all[x.turn%len(all)])
 	}
 	return chosen
 }
 
+// readers returns the addresses of the daemons of this failure domain that poll
+// the key-value service.
+func (x *Exchange) readers(now clock.Instant) []string {
+	ranked := x.ranked(now)
+	var list []string
+	for _, name := range ranked[:min(len(ranked), readersPerDomain)] {
+		if p := x.peers[name]; p != nil {
+			list = append(list, p.Message.Link)
+		}
+	}
+	return list
+}
+
+// ranked returns the names of the live daemons of this failure domain, this one
+// included, in an order on which all agree.
+func (x *Exchange) ranked(now clock.Instant) []string {
+	names := []string{x.Self.Name}
+	for name, p := range x.peers {
+		if p.Message.Domain == x.Self.Domain && p.Live(now) && !p.Message.Leaving {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	return names
+}
+
+// Reader tells whether this daemon is one that polls the key-value service: in
+// small fleets all do, in others a few of each failure domain.
+func (x *Exchange) Reader() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if len(x.peers) < smallFleet {
+		return true
+	}
+	rank := slices.Index(x.ranked(clock.Now()), x.Self.Name)
+	return rank < readersPerDomain
+}
+
 // call sends this daemon's message to a peer and takes its reply. Calls that
 // take long overlap with the next round.
 func (x *Exchange) call(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := clock.Now()
-	message := x.message(x.behind(asked))
+	message := x.message(!x.Reading() || x.behind(asked))
 	var reply Message
 	if err := x.Link.Call(ctx, address, Service+".Swap", message, &reply); err != nil {
 		return // watch reports peers that fall silent
@@ -191,9 +238,9 @@
 	}
 	x.Marks.Merge(time.Now(), m.Marks)
 	if answered {
-		x.Mirror.Adopt(m.Revision, m.Entries, asked.Add(-m.ProofAge))
+		x.Mirror.Adopt(m.Revision, m.Entries, m.Changes, m.Complete, asked.Add(-m.ProofAge))
 	}
-	m.Entries, m.Marks = nil, nil
+	m.Entries, m.Changes, m.Marks = nil, nil, nil
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.peers[m.Name]
@@ -278,8 +325,11 @@
 	x := r.exchange
 	x.take(m, 0, false)
 	*reply = x.message(false)
-	if m.Want && x.Mirror.View().Revision > m.Revision {
-		reply.Entries = x.Mirror.View().Entries()
+	if v := x.Mirror.View(); m.Want && v.Revision > m.Revision {
+		if reply.Changes, reply.Complete = v.Since(m.Revision); !reply.Complete {
+			reply.Entries = v.Entries()
+		}
+		reply.Revision = v.Revision
 	}
 	return nil
 }
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -29,12 +29,16 @@
 	// ago the copy was known to be complete.
 	Revision int64
 	ProofAge time.Duration
-	// Want asks for the entries of the copy if they are newer than this.
+	// Want asks for what the copy has beyond this revision.
 	Want bool
-	// Entries is the whole copy, in a reply to a call that wanted it.
-	Entries []port.Entry
-	Report  Report
-	Marks   []quarantine.Mark
+	// Changes are those after the caller's revision, in a reply to a call that
+	// wanted them; Complete tells that none is missing. Otherwise Entries is the
+	// whole copy.
+	Changes  []port.Event
+	Complete bool
+	Entries  []port.Entry
+	Report   Report
+	Marks    []quarantine.Mark
 }
 
 // Report is the load of one daemon.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -18,6 +18,8 @@
 	// the copy is fresh reaches about this, so it stays well below the bounds on
 	// that age.
 	pollWait = time.Second
+	// standbyDelay is how often a daemon that doesn't poll asks whether it should.
+	standbyDelay = 100 * time.Millisecond
 	// retryDelay is the pause after a failed call.
 	retryDelay = 250 * time.Millisecond
 )
@@ -32,6 +34,9 @@
 	// Changed is called after each change with what it told.
 	Changed func(v *View, facts []Fact)
 	Logger  zerolog.Logger
+	// Reading tells whether this daemon polls the service itself; others take the
+	// copy from their peers. Nil means always.
+	Reading func() bool
 
 	mu   sync.Mutex // serialises changes
 	view atomic.Pointer[View]
@@ -65,6 +70,14 @@
 func (m *Mirror) Run(ctx context.Context) error {
 	after := int64(-1)
 	for ctx.Err() == nil {
+		if after >= 0 && m.Reading != nil && !m.Reading() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(standbyDelay):
+			}
+			after = m.View().Revision // what peers passed on isn't polled again
+			continue
+		}
 		asked := clock.Now()
 		next, err := m.step(ctx, after, asked)
 		if err == nil {
@@ -105,15 +118,7 @@
 	if err != nil {
 		return after, err
 	}
-	m.change(func(v *View, now clock.Instant) []Fact {
-		var facts []Fact
-		for _, e := range events {
-			if f := m.apply(v, e, now); f != nil {
-				facts = append(facts, f)
-			}
-		}
-		return facts
-	}, len(events) == 0)
+	m.change(func(v *View, now clock.Instant) []Fact { return m.applyAll(v, events, now) }, len(events) == 0)
 	return at, nil
 }
 
@@ -175,14 +180,31 @@
 	}, false)
 }
 
-// Adopt takes what another daemon's copy held, with the age of its proof counted
-// from before it was asked. Without entries, the other copy has the same
-// revision.
-func (m *Mirror) Adopt(revision int64, entries []port.Entry, proven clock.Instant) {
-	if entries != nil && revision > m.View().Revision {
+// Adopt takes what another daemon's copy held, with the moment at which that was
+// known to be complete: all its entries, or the changes since this copy's
+// revision, which may be none.
+func (m *Mirror) Adopt(revision int64, entries []port.Entry, changes []port.Event, complete bool, proven clock.Instant) {
+	switch newer := revision > m.View().Revision; {
+	case newer && entries != nil:
 		m.replace(entries, revision)
+	case newer && complete:
+		m.change(func(v *View, now clock.Instant) []Fact {
+			facts := m.applyAll(v, changes, now)
+			v.Revision = max(v.Revision, revision)
+			return facts
+		}, false)
 	}
 	if m.View().Revision == revision {
 		m.prove(proven)
 	}
 }
+
+func (m *Mirror) applyAll(v *View, events []port.Event, now clock.Instant) []Fact {
+	var facts []Fact
+	for _, e := range events {
+		if f := m.apply(v, e, now); f != nil {
+			facts = append(facts, f)
+		}
+	}
+	return facts
+}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -183,22 +184,64 @@
 	qt.Assert(t, age < time.Second, qt.IsTrue)
 	later := at.Add(10 * time.Second)
 
-	m.Adopt(4, nil, later)
+	m.Adopt(4, nil, nil, false, later)
 	qt.Assert(t, m.Age(later) >= 10*time.Second, qt.IsTrue) // another revision proves nothing
-	m.Adopt(5, nil, at.Add(time.Second))
+	m.Adopt(5, nil, nil, false, at.Add(time.Second))
 	qt.Assert(t, m.Age(later), qt.Equals, 9*time.Second)
-	m.Adopt(5, nil, at) // an older proof takes nothing away
+	m.Adopt(5, nil, nil, false, at) // an older proof takes nothing away
 	qt.Assert(t, m.Age(later), qt.Equals, 9*time.Second)
 
-	m.Adopt(8, []port.Entry{entry("target/b", "x", 8)}, at.Add(2*time.Second))
+	m.Adopt(8, []port.Entry{entry("target/b", "x", 8)}, nil, false, at.Add(2*time.Second))
 	listed, gone := present(m.View())
 	qt.Assert(t, listed, qt.DeepEquals, []string{"b"})
 	qt.Assert(t, gone, qt.DeepEquals, []string{"a"})
 	qt.Assert(t, m.Age(later), qt.Equals, 8*time.Second)
-	m.Adopt(7, []port.Entry{entry("target/a", "x", 5)}, at.Add(3*time.Second))
+	m.Adopt(7, []port.Entry{entry("target/a", "x", 5)}, nil, false, at.Add(3*time.Second))
 	listed, _ = present(m.View())
 	qt.Assert(t, listed, qt.DeepEquals, []string{"b"})
 
 	_, s := copied(t, reply{err: port.ErrUnavailable}, reply{entries: nil, at: 3})
 	qt.Assert(t, s.calls, qt.DeepEquals, []string{"snapshot", "snapshot", "poll 3"})
 }
+
+// Guards against changes that a daemon that doesn't poll never gets: those after
+// its revision, or all entries if they are no longer known.
+func TestSince(t *testing.T) {
+	reader, _ := copied(t, reply{entries: []port.Entry{entry("target/a", "x", 5)}, at: 5},
+		reply{events: []port.Event{put("target/b", "x", 6), removed("target/a", 7)}, at: 7})
+	other := newMirror(newStore())
+	now := clock.Now()
+	take := func() {
+		v := reader.View()
+		changes, complete := v.Since(other.View().Revision)
+		var entries []port.Entry
+		if !complete {
+			entries = v.Entries()
+		}
+		other.Adopt(v.Revision, entries, changes, complete, now)
+	}
+	take()
+	listed, _ := present(other.View())
+	qt.Assert(t, listed, qt.DeepEquals, []string{"b"})
+
+	for i := range 3 * logLength {
+		name := fmt.Sprint("target/n", i%7)
+		e := put(name, "x", int64(8+i))
+		if i%3 == 0 {
+			e = removed(name, int64(8+i))
+		}
+		reader.change(func(v *View, at clock.Instant) []Fact { return reader.applyAll(v, []port.Event{e}, at) }, false)
+		if i%100 == 0 || i > 2*logLength {
+			take()
+		}
+	}
+	take()
+	want, _ := present(reader.View())
+	got, _ := present(other.View())
+	slices.Sort(want)
+	slices.Sort(got)
+	qt.Assert(t, got, qt.DeepEquals, want)
+	qt.Assert(t, other.View().Revision, qt.Equals, reader.View().Revision)
+	_, complete := reader.View().Since(6)
+	qt.Assert(t, complete, qt.IsFalse)
+}
--- a/mirror/view.go
+++ b/mirror/view.go
@@ -23,6 +23,38 @@
 	Members  map[string]Member
 
 	entries map[string]port.Entry
+	// log holds the newest changes, those after the revision logFrom.
+	log     []port.Event
+	logFrom int64
+}
+
+// logLength is the number of changes that are kept for daemons that lack them.
+const logLength = 512
+
+// Since returns the changes after the revision, false if they are no longer
+// known.
+func (v *View) Since(revision int64) ([]port.Event, bool) {
+	if revision < v.logFrom || v.Revision == 0 {
+		return nil, false
+	}
+	for i, e := range v.log {
+		if e.Entry.Revision > revision {
+			return v.log[i:], true
+		}
+	}
+	return nil, true
+}
+
+// record keeps a change. Views share the backing array of their logs: only the
+// newest view is appended to.
+func (v *View) record(e port.Event) {
+	if len(v.log) >= 2*logLength {
+		for _, dropped := range v.log[:len(v.log)-logLength] {
+			v.logFrom = max(v.logFrom, dropped.Entry.Revision)
+		}
+		v.log = append([]port.Event(nil), v.log[len(v.log)-logLength:]...)
+	}
+	v.log = append(v.log, e)
 }
 
 // removedMemory is how long a target stays in the view after its entry was
@@ -60,6 +92,7 @@
 		return nil
 	}
 	v.Revision = max(v.Revision, e.Entry.Revision)
+	v.record(e)
 	if e.Deleted {
 		delete(v.entries, e.Entry.Key)
 		f := m.gone(e.Entry.Key)
