--- a/edge/request_test.go
+++ b/edge/request_test.go
@@ -251,7 +251,7 @@
 
 // Guards against a request that crashes one target after the other: after the
 // second crash it is refused at every daemon, and other requests are served.
-func TestPoison(t *testing.T) {
+func TestCrashingRequest(t *testing.T) {
 	r := newRig(t)
 	var crashes atomic.Int32
 	for i := range 4 {
