Look at a bounded number of targets for a request

Cause: a choice went over all targets of the fleet, hashed a text for each, and compared all of the service; the share of an account was sorted out for each request.

Change: targets are kept by service with the hash of their name; the home and at most 47 others are compared; the share is worked out 20 times a second.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -15,6 +15,8 @@
 const (
 	// rateTime is the time constant of the rates.
 	rateTime = 1500 * time.Millisecond
+	// levelTime is how long a share is used before it is worked out again.
+	levelTime = 50 * time.Millisecond
 	// forgetTime is how long an account without requests is remembered.
 	forgetTime = 15 * time.Second
 	// firstDelay and waitFactor turn the expected wait for the prompts before a
@@ -41,6 +43,9 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	// level is the share at the moment levelAt.
+	level   float64
+	levelAt clock.Instant
 }
 
 type account struct {
@@ -132,6 +137,15 @@
 // share returns the level up to which each account is served, such that the
 // accounts together get what is served now.
 func (c *Control) share(now clock.Instant, others map[string]Rate) float64 {
+	if now.Sub(c.levelAt) < levelTime {
+		return c.level
+	}
+	c.levelAt = now
+	c.level = c.newLevel(now, others)
+	return c.level
+}
+
+func (c *Control) newLevel(now clock.Instant, others map[string]Rate) float64 {
 	total := 0.0
 	asked := make([]float64, 0, len(c.accounts)+len(others))
 	for name, a := range c.accounts {
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -58,8 +58,6 @@
 	Source string
 	// Cold tells that the target is cold.
 	Cold bool
-	// Candidates is the number of targets that could be used.
-	Candidates int
 }
 
 // Choose returns the target with the shortest expected wait. It returns false if
@@ -74,7 +72,8 @@
 	if len(usable) == 0 {
 		return Choice{}, listed, false
 	}
-	kept := keptBy(q, usable, now)
+	usable, home := sample(usable, homeOf(q, usable))
+	kept := keptBy(q, usable, home, now)
 	var best Choice
 	var bestTarget *target
 	var bestCost time.Duration
@@ -97,17 +96,17 @@
 	if best.Cold {
 		bestTarget.next = now.Add(t.coldSpacing(bestTarget, daemons))
 	}
-	best.Candidates = len(usable)
 	return best, listed, true
 }
 
 // usable returns the targets of the service to which requests may be sent. Those
 // that the request was sent to before are among them only if there is no other.
 func (t *Table) usable(q Query, now clock.Instant) ([]*target, int) {
-	var fresh, tried []*target
+	fresh, tried := t.fresh[:0], t.tried[:0]
+	defer func() { t.fresh, t.tried = fresh, tried }() // keeps what has grown
 	listed := 0
-	for _, g := range t.targets {
-		if g.Service != q.Service || !g.known || g.Leaving || t.domains[g.Domain].evacuated {
+	for _, g := range t.services[q.Service] {
+		if !g.known || g.Leaving || t.domains[g.Domain].evacuated {
 			continue
 		}
 		if g.Removed != 0 && now.Sub(g.Removed) > removedTime {
@@ -135,23 +134,44 @@
 	if !q.Engine || len(q.Demand.Parts) == 0 {
 		return -1
 	}
-	deepest := q.Demand.Parts[max(len(q.Demand.Parts)-2, 0)].ID
+	deepest := xxhash.Sum64String(q.Demand.Parts[max(len(q.Demand.Parts)-2, 0)].ID)
 	home := -1
 	var most uint64
 	for i, g := range usable {
-		if w := rank(deepest, g.Name); home < 0 || w > most {
+		if w := rank(deepest, g.hash); home < 0 || w > most {
 			home, most = i, w
 		}
 	}
 	return home
 }
 
-func rank(key, name string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(name)
-	return d.Sum64()
+// maxWeighed bounds the targets that are compared for one request.
+const maxWeighed = 48
+
+// sample returns at most maxWeighed of the targets, the home among them, and the
+// index of the home. It changes the order of the targets.
+func sample(usable []*target, home int) ([]*target, int) {
+	if len(usable) <= maxWeighed {
+		return usable, home
+	}
+	first := 0
+	if home >= 0 {
+		usable[0], usable[home] = usable[home], usable[0]
+		first, home = 1, 0
+	}
+	for i := first; i < maxWeighed; i++ {
+		j := i + rand.IntN(len(usable)-i)
+		usable[i], usable[j] = usable[j], usable[i]
+	}
+	return usable[:maxWeighed], home
+}
+
+// rank mixes two hashes (the finalizer of splitmix64).
+func rank(key, name uint64) uint64 {
+	x := key ^ name*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // keepers tells how many of a prompt's tokens each target is taken to keep.
@@ -173,7 +193,7 @@
 
 // keptBy returns what the targets are taken to keep of the prompt: what this
 // daemon sent there, and all shared parts at their home.
-func keptBy(q Query, usable []*target, now clock.Instant) keepers {
+func keptBy(q Query, usable []*target, home int, now clock.Instant) keepers {
 	k := keepers{first: -1, second: -1}
 	if !q.Engine {
 		return k
@@ -183,7 +203,7 @@
 		k.known[i] = g.parts.kept(now, q.Demand.Parts)
 		k.tokens[i] = k.known[i]
 	}
-	if home := homeOf(q, usable); home >= 0 {
+	if home >= 0 {
 		k.tokens[home] = max(k.tokens[home], shared(q.Demand.Parts))
 	}
 	for i, tokens := range k.tokens {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattanline.example/rattanline/clock"
 )
 
@@ -37,10 +39,10 @@
 	if len(daemons) == 0 || now < g.next {
 		return false
 	}
-	own := rank(g.Name, t.Self)
+	own := rank(g.hash, xxhash.Sum64String(t.Self))
 	higher := 0
 	for _, d := range daemons {
-		if d != t.Self && rank(g.Name, d) > own {
+		if d != t.Self && rank(g.hash, xxhash.Sum64String(d)) > own {
 			higher++
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -218,11 +218,10 @@
 func BenchmarkChoose(b *testing.B) {
 	table := newTable("d0", []string{"d0"}, 5600)
 	v := viewOf(5600, nil)
-	for name, e := range v.Targets {
-		if len(name) > 0 && e.Address > "10.0.0.1000" {
-			e.Service = "other"
-			v.Targets[name] = e
-		}
+	for i := 1000; i < 5600; i++ {
+		e := v.Targets[fmt.Sprint("t", i)]
+		e.Service = "other"
+		v.Targets[e.Name] = e
 	}
 	table.Update(v)
 	q := Query{Service: "engine", Engine: true, Demand: prompt(request.Part{ID: "a", Tokens: 10}, request.Part{ID: "b", Tokens: 10})}
--- a/placement/table.go
+++ b/placement/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/mirror"
 	"rattanline.example/rattanline/port"
@@ -29,7 +31,11 @@
 
 	mu      sync.Mutex
 	targets map[string]*target
-	domains map[string]mirrorDomain
+	// services holds the targets by service.
+	services map[string][]*target
+	// fresh and tried are used again by each choice.
+	fresh, tried []*target
+	domains      map[string]mirrorDomain
 }
 
 // Work is what daemons have in flight at a target.
@@ -50,6 +56,7 @@
 
 type target struct {
 	mirror.Target
+	hash uint64 // of its name
 	// known tells that the entry is in the view.
 	known bool
 	work  Work
@@ -83,13 +90,16 @@
 	for name, entry := range v.Targets {
 		t.update(name, entry)
 	}
+	t.services = map[string][]*target{}
 	for name, g := range t.targets {
 		if _, ok := v.Targets[name]; !ok {
 			g.known = false
 			if g.work.Requests == 0 {
 				delete(t.targets, name)
 			}
+			continue
 		}
+		t.services[g.Service] = append(t.services[g.Service], g)
 	}
 }
 
@@ -108,7 +118,7 @@
 	if entry.Changed != g.Changed && entry.Cold <= 0 && entry.Removed == 0 {
 		g.down = 0 // it is alive
 	}
-	g.Target, g.known = entry, true
+	g.Target, g.known, g.hash = entry, true, xxhash.Sum64String(name)
 }
 
 // Started counts a request as in flight at the target, with the prompt tokens
