Refuse nobody while an engine is idle

Tried first: pressure without the request's own prompt.

Change: nobody is refused while other requests cause a wait of 15 ms at most.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -29,6 +29,9 @@
 	// less of it an account gets, the higher a pressure it is admitted at, up to
 	// fullPressure.
 	easyPressure = 0.55
+	// idleQueue is the wait caused by other requests up to which an engine counts
+	// as idle: then nobody is refused, however long the prompt.
+	idleQueue    = 15 * time.Millisecond
 	fullPressure = 1.7
 )
 
@@ -72,9 +75,10 @@
 type Question struct {
 	Account string
 	Work    float64
-	// Wait is the expected time to the first event at the best target, Aim the
-	// time within which it earns its full worth, Timeout the time that it has.
-	Wait, Aim, Timeout time.Duration
+	// Wait is the expected time until the best target begins to answer, Queue the
+	// part of it that other requests cause, Aim the time within which the answer
+	// earns its full worth, Timeout the time that it has.
+	Wait, Queue, Aim, Timeout time.Duration
 }
 
 // Answer tells whether to send the request, and what the decision was based on.
@@ -96,7 +100,7 @@
 	a.asked.add(now, q.Work)
 	first := firstDelay.Seconds() + waitFactor*q.Wait.Seconds()
 	answer := Answer{Admitted: true, Pressure: first / max(q.Aim.Seconds(), 0.001)}
-	if answer.Pressure > easyPressure {
+	if answer.Pressure > easyPressure && q.Queue > idleQueue {
 		answer.Share = c.share(now, others)
 		answer.Served = a.served.now(now) + others[q.Account].Served
 		unserved := max(1-answer.Served/answer.Share, 0)
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -86,7 +86,7 @@
 					continue
 				}
 				wait := time.Duration(f.backlog / f.rate * float64(time.Second))
-				a := f.daemons[random.IntN(len(f.daemons))].Decide(at, Question{Account: name, Work: work, Wait: wait, Aim: 600 * time.Millisecond, Timeout: 5 * time.Second})
+				a := f.daemons[random.IntN(len(f.daemons))].Decide(at, Question{Account: name, Work: work, Wait: wait, Queue: wait, Aim: 600 * time.Millisecond, Timeout: 5 * time.Second})
 				if a.Admitted {
 					f.backlog += work
 					served[name] += work / span.Seconds()
@@ -138,7 +138,7 @@
 // Guards against a refusal that doesn't say when to come back.
 func TestRetryAfter(t *testing.T) {
 	c := &Control{Others: func() map[string]Rate { return nil }}
-	a := c.Decide(clock.Now(), Question{Account: "a", Work: 100, Wait: 3 * time.Second, Aim: time.Second, Timeout: time.Minute})
+	a := c.Decide(clock.Now(), Question{Account: "a", Work: 100, Wait: 3 * time.Second, Queue: 3 * time.Second, Aim: time.Second, Timeout: time.Minute})
 	qt.Assert(t, a.Admitted, qt.IsFalse)
 	qt.Assert(t, a.RetryAfter > 0, qt.IsTrue)
 }
@@ -161,6 +161,16 @@
 	c := &Control{Others: func() map[string]Rate { return others }}
 	b.ReportAllocs()
 	for b.Loop() {
-		c.Decide(clock.Now(), Question{Account: "account-7", Work: 100, Wait: 700 * time.Millisecond, Aim: time.Second, Timeout: time.Minute})
+		c.Decide(clock.Now(), Question{Account: "account-7", Work: 100, Wait: 700 * time.Millisecond, Queue: 700 * time.Millisecond, Aim: time.Second, Timeout: time.Minute})
+	}
+}
+
+// Guards against requests with long prompts that are refused though no other
+// request is before them.
+func TestLongPrompt(t *testing.T) {
+	c := &Control{Others: func() map[string]Rate { return nil }}
+	for range 20 {
+		a := c.Decide(clock.Now(), Question{Account: "a", Work: 9000, Wait: 900 * time.Millisecond, Aim: time.Second, Timeout: 5 * time.Second})
+		qt.Assert(t, a.Admitted, qt.IsTrue)
 	}
 }
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -49,8 +49,9 @@
 // Choice is the target chosen for a request.
 type Choice struct {
 	Target mirror.Target
-	// Wait is the expected time until the target begins to answer.
-	Wait time.Duration
+	// Wait is the expected time until the target begins to answer, Queue the part
+	// of it that other requests cause.
+	Wait, Queue time.Duration
 	// Prompt is the number of tokens that it has to read.
 	Prompt float64
 	// Source is the address of another target that keeps more of the prompt,
@@ -253,11 +254,16 @@
 	}
 	fetch := time.Duration(float64(fetched) / fetchRate * float64(time.Second))
 	c.Prompt = float64(max(q.Demand.Prompt-k.kept-fetched, 1))
-	backlog := g.work.Prompt + others.Prompt + c.Prompt
-	c.Wait = time.Duration(backlog/readRate*float64(time.Second)) + requestTime*time.Duration(requests) + fetch
+	c.Queue = readTime(g.work.Prompt+others.Prompt) + requestTime*time.Duration(requests)
+	c.Wait = c.Queue + readTime(c.Prompt) + fetch
 	return c, fetch
 }
 
+// readTime is the time in which an engine reads the tokens of prompts.
+func readTime(tokens float64) time.Duration {
+	return time.Duration(tokens / readRate * float64(time.Second))
+}
+
 // shared returns the tokens of the parts that other requests may share.
 func shared(parts []request.Part) int {
 	tokens := 0
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -61,7 +61,7 @@
 // admit asks whether the account gets a part of the engines' work.
 func (a *assignment) admit() error {
 	answer := a.scheduler.Admission.Decide(clock.Now(), admission.Question{
-		Account: a.job.Account, Work: a.job.Demand.Work(), Wait: a.choice.Wait,
+		Account: a.job.Account, Work: a.job.Demand.Work(), Queue: a.choice.Queue, Wait: a.choice.Wait,
 		Aim: a.job.LatencyAim, Timeout: time.Until(a.job.Deadline),
 	})
 	a.basis.Pressure, a.basis.Served, a.basis.Share = answer.Pressure, answer.Served, answer.Share
