Keep to a daemon's part of the connections that a target accepts

Cause: nothing bounded the connections to one target, though targets reset those beyond max_connections of all daemons together.

Change: a target at which a daemon has its part in flight isn't chosen (TestConnectionPart failed first: 6 at one of two targets); unused connections to targets that are no longer listed are closed.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -92,7 +92,7 @@
 	}
 	d.poison = &quarantine.Registry{}
 	d.table = &placement.Table{
-		Self: s.Name, Domain: s.FailureDomain, Daemons: d.daemons, Work: func() map[string]placement.Work { return d.exchange.Totals().Targets }, ColdRate: d.coldRate,
+		Self: s.Name, Domain: s.FailureDomain, Daemons: d.daemons, Work: func() map[string]placement.Work { return d.exchange.Totals().Targets }, ColdRate: d.coldRate, MaxConnections: d.maxConnections,
 	}
 	d.mirror = &mirror.Mirror{
 		Poller: d.Store, Decode: platform.Decode, Gone: platform.Gone, Changed: d.changed, Reading: d.reading, Logger: d.Logger,
@@ -214,7 +214,7 @@
 		case <-ctx.Done():
 		case <-time.After(trimInterval):
 		}
-		d.pool.Trim(func(string) bool { return true })
+		d.pool.Trim(d.table.Known)
 	}
 	return nil
 }
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -86,6 +86,15 @@
 	return ok && s.Kind == config.Model
 }
 
+func (d *Daemon) maxConnections(service string) int {
+	x := d.mirror.View().Index
+	if x == nil {
+		return 0
+	}
+	s, _ := x.Service(service)
+	return s.Connection.MaxConnections
+}
+
 // retrySlack returns this daemon's part of the retries that the fleet may make
 // without requests. It grows from zero after a start, because the daemon before
 // it may have used its part.
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -69,7 +70,7 @@
 	daemons := t.Daemons()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	usable, listed := t.usable(q, now)
+	usable, listed := t.usable(q, now, t.connectionPart(q.Service, len(daemons)))
 	if len(usable) == 0 {
 		return Choice{}, listed, false
 	}
@@ -100,9 +101,22 @@
 	return best, listed, true
 }
 
+// connectionPart returns how many requests this daemon may have in flight at a
+// target of the service: its part of the connections that the target accepts.
+func (t *Table) connectionPart(service string, daemons int) int {
+	if t.MaxConnections == nil {
+		return math.MaxInt
+	}
+	most := t.MaxConnections(service)
+	if most <= 0 {
+		return math.MaxInt
+	}
+	return max(most/max(daemons, 1), 1)
+}
+
 // usable returns the targets of the service to which requests may be sent. Those
 // that the request was sent to before are among them only if there is no other.
-func (t *Table) usable(q Query, now clock.Instant) ([]*target, int) {
+func (t *Table) usable(q Query, now clock.Instant, connections int) ([]*target, int) {
 	fresh, tried := t.fresh[:0], t.tried[:0]
 	defer func() { t.fresh, t.tried = fresh, tried }() // keeps what has grown
 	listed := 0
@@ -115,7 +129,7 @@
 		}
 		listed++
 		switch {
-		case now < g.down:
+		case now < g.down, g.work.Requests >= connections:
 		case slices.Contains(q.Avoid, g.Name):
 			tried = append(tried, g)
 		default:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -187,6 +187,23 @@
 	qt.Assert(t, c.Target.Name, qt.Equals, "t1")
 }
 
+// Guards against a daemon that takes more than its part of the connections that a
+// target accepts.
+func TestConnectionPart(t *testing.T) {
+	table := newTable("d0", []string{"d0", "d1", "d2"}, 2)
+	table.MaxConnections = func(string) int { return 10 }
+	q := Query{Service: "engine"}
+	for range 6 {
+		c, _, ok := table.Choose(q)
+		qt.Assert(t, ok, qt.IsTrue)
+		table.Started(c.Target.Name, 0, nil)
+	}
+	qt.Assert(t, table.InFlight(), qt.DeepEquals, map[string]Work{"t0": {Requests: 3}, "t1": {Requests: 3}})
+	_, listed, ok := table.Choose(q)
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, listed, qt.Equals, 2)
+}
+
 // Guards against work that stays counted after its request has ended.
 func TestAssignments(t *testing.T) {
 	table := newTable("d0", []string{"d0"}, 1)
--- a/placement/table.go
+++ b/placement/table.go
@@ -29,6 +29,10 @@
 	// bears, zero if that has no bound, and how long it is cold after a start.
 	ColdRate func(service string) (rate float64, coldTime time.Duration)
 
+	// MaxConnections returns the connections that a target of a service accepts
+	// from all daemons together; zero or a nil function means no bound.
+	MaxConnections func(service string) int
+
 	mu      sync.Mutex
 	targets map[string]*target
 	// services holds the targets by service.
