--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -105,6 +105,7 @@
 		Status: func() (bool, bool) { return d.ready(), d.leaving.Load() }, Report: d.report, Reading: d.reading, Logger: d.Logger,
 	}
 	d.pool = &upstream.Pool{Opened: connections.Inc}
+	metrics.GetOrCreateGauge("rattanline_target_connections_open", func() float64 { return float64(d.pool.Open()) })
 	d.handler = &relay.Handler{
 		Protocol: platform.Wire{}, View: d.mirror.View, Age: d.age, Loaded: d.table.Loaded,
 		Scheduler: &placement.Scheduler{Table: d.table, Admission: d.admission, Engine: d.engine},
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -155,7 +155,9 @@
 	chosen := x.readers(now)
 	for len(chosen) < fanOut {
 		x.turn++
-		chosen = append(chosen, all[x.turn%len(all)])
+		if a := all[x.turn%len(all)]; !slices.Contains(chosen, a) {
+			chosen = append(chosen, a)
+		}
 	}
 	return chosen
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -75,9 +75,9 @@
 	// Opened is called for each new connection; it may be nil.
 	Opened func()
 
-	mu    sync.Mutex
-	idle  map[string][]*conn // by Key, the one used last at the end
-	total map[string]int     // open connections by Key
+	mu   sync.Mutex
+	idle map[string][]*conn // by Key, the one used last at the end
+	open int
 }
 
 type conn struct {
@@ -124,11 +124,11 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// Open returns the number of open connections to the target.
-func (p *Pool) Open(key string) int {
+// Open returns the number of open connections, used and unused.
+func (p *Pool) Open() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.total[key]
+	return p.open
 }
 
 // Send sends the call and waits for the head of its response.
@@ -298,10 +298,7 @@
 		return nil, false, err
 	}
 	p.mu.Lock()
-	if p.total == nil {
-		p.total = map[string]int{}
-	}
-	p.total[c.Key]++
+	p.open++
 	p.mu.Unlock()
 	if p.Opened != nil {
 		p.Opened()
@@ -367,9 +364,7 @@
 	_ = c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.total[c.key]--; p.total[c.key] <= 0 {
-		delete(p.total, c.key)
-	}
+	p.open--
 }
 
 // Trim closes connections that are too old to be used again, and all unused
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -237,12 +237,12 @@
 	p := &Pool{}
 	_, err := get(p, x, "a", "")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, p.Open("t"), qt.Equals, 1)
+	qt.Assert(t, p.Open(), qt.Equals, 1)
 	_, err = get(p, x, "b", "")
 	qt.Assert(t, err, qt.IsNotNil)
-	qt.Assert(t, p.Open("t"), qt.Equals, 0)
+	qt.Assert(t, p.Open(), qt.Equals, 0)
 	_, err = get(p, x, "c", "")
 	qt.Assert(t, err, qt.IsNil)
 	p.Trim(func(string) bool { return false })
-	qt.Assert(t, p.Open("t"), qt.Equals, 0)
+	qt.Assert(t, p.Open(), qt.Equals, 0)
 }
