--- a/relay/handler.go
+++ b/relay/handler.go
@@ -37,6 +37,8 @@
 	maxDiscard = 2 << 20
 	// stopRetry is what callers of a daemon that stops are told: others are ready.
 	stopRetry = 50 * time.Millisecond
+	// assumedBody is counted for a body of unknown length while it is read.
+	assumedBody = 256 << 10
 	// defaultBody bounds bodies while the configuration sets no bound.
 	defaultBody = 4 << 20
 )
@@ -178,26 +180,41 @@
 		_, _ = io.CopyN(io.Discard, r.Body, maxDiscard) // else the caller may see a reset before the answer
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
-	if h.buffered.Load()+max(r.ContentLength, 0) > h.MaxBuffered {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "too many bodies in memory", retry: startRetry}
+	held := r.ContentLength
+	if held < 0 {
+		held = assumedBody
 	}
+	if h.buffered.Add(held) > h.MaxBuffered {
+		h.buffered.Add(-held)
+		return &refusal{status: http.StatusServiceUnavailable, reason: "too many bodies in memory", retry: startRetry, close: true}
+	}
+	refused := h.readBody(c, r, most)
+	h.buffered.Add(int64(len(c.body)) - held)
+	if refused != nil {
+		return refused
+	}
+	c.fingerprint = request.Fingerprint(c.account, c.method+" "+c.host+c.uri, c.body)
+	return nil
+}
+
+// readBody reads the body, which may have at most the given size.
+func (h *Handler) readBody(c *call, r *http.Request, most int64) *refusal {
+	control := http.NewResponseController(c.writer)
 	// The deadline also bounds the time that the caller takes to send the body.
-	_ = http.NewResponseController(c.writer).SetReadDeadline(c.deadline)
+	_ = control.SetReadDeadline(c.deadline)
 	var buffer bytes.Buffer
 	if r.ContentLength > 0 {
 		buffer.Grow(int(r.ContentLength))
 	}
 	n, err := io.Copy(&buffer, io.LimitReader(r.Body, most+1))
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: fmt.Sprintf("read body: %v", err), close: true}
-	}
-	if n > most {
+	switch {
+	case err != nil:
+		return &refusal{status: http.StatusRequestTimeout, reason: fmt.Sprintf("read body: %v", err), close: true}
+	case n > most:
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", close: true}
 	}
-	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Time{})
+	_ = control.SetReadDeadline(time.Time{})
 	c.body = buffer.Bytes()
-	h.buffered.Add(n)
-	c.fingerprint = request.Fingerprint(c.account, c.method+" "+c.host+c.uri, c.body)
 	return nil
 }
 
