Remove fields that nothing reads, and bound the time that addresses are kept

The settings' bound on that time was read and not used; the time is 1 s, so nothing changes on the deployments at hand. Tests of the packages pass.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -103,6 +103,15 @@
 	return d.Settings.RetrySlack * retryPart * min(up, 1) / float64(max(len(d.daemons()), 1))
 }
 
+// addressTime returns how long callers keep addresses, at most what the settings
+// allow.
+func (d *Daemon) addressTime() time.Duration {
+	if most := d.Settings.MaxResolveTime; most > 0 {
+		return min(addressTime, most)
+	}
+	return addressTime
+}
+
 // resolve returns the frontends of ready daemons, those of the caller's failure
 // domain if there are several.
 func (d *Daemon) resolve(q platform.Question) platform.Addresses {
@@ -135,5 +144,5 @@
 		list = all
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return platform.Addresses{List: list[:min(len(list), maxAddresses)], Keep: addressTime}
+	return platform.Addresses{List: list[:min(len(list), maxAddresses)], Keep: d.addressTime()}
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -44,10 +44,6 @@
 type Peer struct {
 	Message Message
 	Heard   clock.Instant
-	// Answered is when it last answered a call of this daemon.
-	Answered clock.Instant
-	// Known tells that the peer itself has spoken, not only its entry.
-	Known bool
 }
 
 // Exchange talks to all peers. The exported fields are set before Run.
@@ -250,10 +246,7 @@
 		p = &Peer{}
 		x.peers[m.Name] = p
 	}
-	p.Message, p.Heard, p.Known = m, now, true
-	if answered {
-		p.Answered = now
-	}
+	p.Message, p.Heard = m, now
 }
 
 // watch logs peers that appear and fall silent.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -41,9 +41,7 @@
 	mu   sync.Mutex // serialises changes
 	view atomic.Pointer[View]
 	// proven is when the copy was last known to be complete.
-	proven atomic.Int64
-	// contact is when the service last replied to this daemon itself.
-	contact   atomic.Int64
+	proven    atomic.Int64
 	connected atomic.Bool
 }
 
@@ -61,11 +59,6 @@
 	return now.Sub(clock.Instant(m.proven.Load()))
 }
 
-// ContactAge returns how long ago the service last replied to this daemon.
-func (m *Mirror) ContactAge(now clock.Instant) time.Duration {
-	return now.Sub(clock.Instant(m.contact.Load()))
-}
-
 // Run copies until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	after := int64(-1)
@@ -81,7 +74,6 @@
 		asked := clock.Now()
 		next, err := m.step(ctx, after, asked)
 		if err == nil {
-			m.contact.Store(int64(asked))
 			m.prove(asked)
 			if !m.connected.Swap(true) {
 				m.Logger.Info().Str("dependency", "key-value").Int64("revision", next).Msg("dependency regained")
--- a/setting/machine.go
+++ b/setting/machine.go
@@ -7,7 +7,6 @@
 	Name          string
 	IP            string
 	FailureDomain string
-	Region        string
 
 	FrontendAddress  string
 	ReadyAddress     string
@@ -18,7 +17,6 @@
 	StoreAddress string
 
 	MemoryMB int
-	MaxFiles int
 	// GraceTime is how long the daemon may run after it was told to stop.
 	GraceTime time.Duration
 	// RevokeTime is how long after its removal a key may still be used at most;
