Tell two crashes of one target apart when daemons know different restarts

A crash is named by target and incarnation. A daemon that had nothing in flight at the first crash, and got no response since, still knows the old incarnation, so it gave the second crash the name of the first: both counted as one mark and the request ran a fourth time. Found by reading; the new case of TestRules fails without the change.

Crashes of one name more than 0.6 s apart are now different ones. The platform's request path uses the same names instead of its own time slots, in which one crash at a boundary counted twice.

--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -13,6 +14,11 @@
 	// markLife is how long marks are kept: a quarantine that begins at the end
 	// of one period lasts another, and is derived from its marks.
 	markLife = 2 * period
+	// sameCrash is the time within which crashes of one name are the same one, as
+	// several daemons see it. A target that crashes again after it may have the
+	// same name: a daemon that had nothing in flight there doesn't know of the
+	// restart.
+	sameCrash = 600 * time.Millisecond
 	// defaultMarks bounds the memory. A crash of a full target adds as many marks
 	// as it had requests in flight.
 	defaultMarks = 4096
@@ -42,6 +48,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
+	crash = r.name(now, crash)
 	marked := map[uint64]bool{}
 	for _, f := range fingerprints {
 		if len(r.marks[f]) > 0 {
@@ -60,6 +67,17 @@
 	r.bound()
 }
 
+// name tells the crash apart from an earlier one of the same name. Daemons that
+// see the same crash mostly agree on the new name too.
+func (r *Registry) name(now time.Time, crash string) string {
+	for f := range r.crashes[crash] {
+		if now.Sub(r.marks[f][crash].at()) > sameCrash {
+			return fmt.Sprintf("%s@%d", crash, now.Truncate(2*sameCrash).UnixMilli())
+		}
+	}
+	return crash
+}
+
 // Quarantined tells that the request must not be sent to any target.
 func (r *Registry) Quarantined(now time.Time, fingerprint uint64) bool {
 	r.mu.Lock()
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -53,6 +53,17 @@
 		c.Assert(r.Marks(begin), qt.HasLen, 1)
 		assertVerdict(c, r, begin, poison, true, false)
 	})
+	// A daemon that had nothing in flight at the first crash doesn't know that the
+	// target restarted.
+	c.Run("another crash of the same name is another mark", func(c *qt.C) {
+		r, o := &Registry{}, &Registry{}
+		r.Crash(begin, "t1/a", []uint64{poison})
+		o.Merge(begin, r.Marks(begin))
+		o.Crash(after(900*time.Millisecond), "t1/a", []uint64{poison})
+		assertVerdict(c, o, after(time.Second), poison, true, true)
+		r.Merge(after(time.Second), o.Marks(after(time.Second)))
+		assertVerdict(c, r, after(time.Second), poison, true, true)
+	})
 	c.Run("a marked request of another daemon beside it counts", func(c *qt.C) {
 		r, o := &Registry{}, &Registry{}
 		r.Crash(begin, "t1/a", []uint64{poison})
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -64,11 +63,7 @@
 		return
 	}
 	at := time.Now()
-	c.Poison.Crash(at, fmt.Sprintf("%s@%d", target, at.Unix()/crashSpan), fingerprints)
+	c.Poison.Crash(at, target, fingerprints)
 	c.Logger.Warn().Str("target", target).Int("requests", len(fingerprints)).Msg("target crashed")
 	c.Marked()
 }
-
-// crashSpan is the time in seconds within which crashes of one target that
-// several daemons see count as one.
-const crashSpan = 2
