Count the time since a removal from when the first daemon learned it

A target whose entry was removed is used for another 1.1 s, because entries lapse while the store is away. Changes now carry how long ago the daemon that passes them on learned them. TestAgeOfChanges fails without it. Also: a daemon logs only the peers that it talks to, no longer 74 lines when it loses its hubs.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -213,11 +213,11 @@
 	}
 }
 
-// watch logs peers that appear and fall silent.
+// watch logs peers that appear and fall silent, if this daemon talks to them.
 func (x *Exchange) watch(now clock.Instant) {
 	for name, p := range x.peers {
 		alive := p.Live(now)
-		if alive == x.live[name] {
+		if alive == x.live[name] || p.spoke == 0 {
 			continue
 		}
 		x.live[name] = alive
@@ -263,7 +263,7 @@
 	x.take(m, 0, false)
 	*reply = x.message(false, m.From.Name)
 	if v := x.Mirror.View(); m.Want && v.Revision > m.Revision {
-		if reply.Changes, reply.Complete = v.Since(m.Revision); !reply.Complete {
+		if reply.Changes, reply.Complete = v.Since(m.Revision, clock.Now()); !reply.Complete {
 			reply.Entries = v.Entries()
 		}
 		reply.Revision = v.Revision
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -34,7 +34,7 @@
 	// Changes are those after the caller's revision, in a reply to a call that
 	// wanted them; Complete tells that none is missing. Otherwise Entries is the
 	// whole copy.
-	Changes  []port.Event
+	Changes  []mirror.Change
 	Complete bool
 	Entries  []port.Entry
 	Report   Report
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -175,13 +175,18 @@
 // Adopt takes what another daemon's copy held, with the moment at which that was
 // known to be complete: all its entries, or the changes since this copy's
 // revision, which may be none.
-func (m *Mirror) Adopt(revision int64, entries []port.Entry, changes []port.Event, complete bool, proven clock.Instant) {
+func (m *Mirror) Adopt(revision int64, entries []port.Entry, changes []Change, complete bool, proven clock.Instant) {
 	switch newer := revision > m.View().Revision; {
 	case newer && entries != nil:
 		m.replace(entries, revision)
 	case newer && complete:
 		m.change(func(v *View, now clock.Instant) []Fact {
-			facts := m.applyAll(v, changes, now)
+			var facts []Fact
+			for _, c := range changes {
+				if f := m.apply(v, c.Event, now.Add(-c.Age)); f != nil {
+					facts = append(facts, f)
+				}
+			}
 			v.Revision = max(v.Revision, revision)
 			return facts
 		}, false)
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -213,7 +213,7 @@
 	now := clock.Now()
 	take := func() {
 		v := reader.View()
-		changes, complete := v.Since(other.View().Revision)
+		changes, complete := v.Since(other.View().Revision, now)
 		var entries []port.Entry
 		if !complete {
 			entries = v.Entries()
@@ -242,6 +242,24 @@
 	slices.Sort(got)
 	qt.Assert(t, got, qt.DeepEquals, want)
 	qt.Assert(t, other.View().Revision, qt.Equals, reader.View().Revision)
-	_, complete := reader.View().Since(6)
+	_, complete := reader.View().Since(6, clock.Now())
 	qt.Assert(t, complete, qt.IsFalse)
 }
+
+// Guards against a target that was removed long ago and counts as removed just
+// now at a daemon that hears of it late.
+func TestAgeOfChanges(t *testing.T) {
+	now := clock.Now()
+	reader, late := newMirror(newStore()), newMirror(newStore())
+	reader.replace([]port.Entry{entry("target/a", "x", 5)}, 5)
+	late.replace([]port.Entry{entry("target/a", "x", 5)}, 5)
+	reader.change(func(v *View, _ clock.Instant) []Fact {
+		return []Fact{reader.apply(v, removed("target/a", 6), now.Add(-2*time.Second))}
+	}, false)
+	changes, complete := reader.View().Since(5, now)
+	qt.Assert(t, complete, qt.IsTrue)
+	qt.Assert(t, changes, qt.HasLen, 1)
+	late.Adopt(6, nil, changes, complete, now)
+	since := clock.Now().Sub(late.View().Targets["a"].Removed)
+	qt.Assert(t, since >= 2*time.Second && since < 3*time.Second, qt.IsTrue, qt.Commentf("%s", since))
+}
--- a/mirror/view.go
+++ b/mirror/view.go
@@ -24,37 +24,49 @@
 
 	entries map[string]port.Entry
 	// log holds the newest changes, those after the revision logFrom.
-	log     []port.Event
+	log     []Change
 	logFrom int64
 }
 
+// Change is a change of an entry as daemons pass it on.
+type Change struct {
+	port.Event
+	// Age is how long ago the daemon that passes it on learned it. It counts where
+	// the time since a removal matters.
+	Age time.Duration
+
+	learned clock.Instant
+}
+
 // logLength is the number of changes that are kept for daemons that lack them.
 const logLength = 512
 
 // Since returns the changes after the revision, false if they are no longer
 // known.
-func (v *View) Since(revision int64) ([]port.Event, bool) {
+func (v *View) Since(revision int64, now clock.Instant) ([]Change, bool) {
 	if revision < v.logFrom || v.Revision == 0 {
 		return nil, false
 	}
-	for i, e := range v.log {
-		if e.Entry.Revision > revision {
-			return v.log[i:], true
+	var changes []Change
+	for _, c := range v.log {
+		if c.Entry.Revision > revision {
+			c.Age = now.Sub(c.learned)
+			changes = append(changes, c)
 		}
 	}
-	return nil, true
+	return changes, true
 }
 
 // record keeps a change. Views share the backing array of their logs: only the
 // newest view is appended to.
-func (v *View) record(e port.Event) {
+func (v *View) record(c Change) {
 	if len(v.log) >= 2*logLength {
 		for _, dropped := range v.log[:len(v.log)-logLength] {
 			v.logFrom = max(v.logFrom, dropped.Entry.Revision)
 		}
-		v.log = append([]port.Event(nil), v.log[len(v.log)-logLength:]...)
+		v.log = append([]Change(nil), v.log[len(v.log)-logLength:]...)
 	}
-	v.log = append(v.log, e)
+	v.log = append(v.log, c)
 }
 
 // removedMemory is how long a target stays in the view after its entry was
@@ -85,18 +97,18 @@
 }
 
 // apply takes one change into a view that isn't shared yet, and tells what it
-// said. Changes that the view contains already are passed over.
-func (m *Mirror) apply(v *View, e port.Event, now clock.Instant) Fact {
+// said. Learned is when the first daemon learned it. Changes that the view contains already are passed over.
+func (m *Mirror) apply(v *View, e port.Event, learned clock.Instant) Fact {
 	known, ok := v.entries[e.Entry.Key]
 	if ok && known.Revision >= e.Entry.Revision || e.Deleted && !ok {
 		return nil
 	}
 	v.Revision = max(v.Revision, e.Entry.Revision)
-	v.record(e)
+	v.record(Change{Event: e, learned: learned})
 	if e.Deleted {
 		delete(v.entries, e.Entry.Key)
 		f := m.gone(e.Entry.Key)
-		v.remove(f, now)
+		v.remove(f, learned)
 		return f
 	}
 	f, err := m.decode(e.Entry)
@@ -114,7 +126,7 @@
 		return nil
 	}
 	v.entries[e.Entry.Key] = e.Entry
-	v.add(f, now)
+	v.add(f, learned)
 	return f
 }
 
