--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -21,6 +21,7 @@
 	"rattanline.example/rattanline/admission"
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/exchange"
+	"rattanline.example/rattanline/gateway"
 	"rattanline.example/rattanline/link"
 	"rattanline.example/rattanline/mirror"
 	"rattanline.example/rattanline/placement"
@@ -74,7 +75,7 @@
 	admission *admission.Control
 	poison    *quarantine.Registry
 	pool      *upstream.Pool
-	handler   *relay.Handler
+	handler   *gateway.Handler
 	links     *link.Server
 	callers   *callers
 	overload  overload
@@ -112,13 +113,16 @@
 	}
 	d.pool = &upstream.Pool{Opened: connections.Inc}
 	metrics.GetOrCreateGauge("rattanline_target_connections_open", func() float64 { return float64(d.pool.Open()) })
-	d.handler = &relay.Handler{
-		Protocol: platform.Wire{}, View: d.mirror.View, Age: d.age, Loaded: d.table.Loaded,
-		Scheduler: &placement.Scheduler{Table: d.table, Admission: d.admission, Engine: d.engine},
-		Poison:    d.poison, Retries: &routing.Budget{Span: s.RetryWindow, Ratio: s.RetryRatio * retryPart, Slack: d.retrySlack},
-		Pool: d.pool, Crashes: &relay.Crashes{Poison: d.poison, Marked: d.exchange.Announce, Logger: d.Logger},
+	path := &relay.Path{
+		Scheduler:  &placement.Scheduler{Table: d.table, Admission: d.admission, Engine: d.engine},
+		Quarantine: d.poison, Crashed: relay.Refuses, Marked: d.exchange.Announce,
+		Retries: &routing.Budget{Span: s.RetryWindow, Ratio: s.RetryRatio * retryPart, Slack: d.retrySlack},
+		Logger:  d.Logger,
+	}
+	d.handler = &gateway.Handler{
+		Protocol: platform.Wire{}, View: d.mirror.View, Age: d.age, Loaded: d.table.Loaded, Path: path, Pool: d.pool,
 		KeyAge: max(s.RevokeTime-keyMargin, 0), Leaving: d.leaving.Load, Overloaded: d.overload.refusing, Left: d.callers.left,
-		MaxBuffered: int64(s.MemoryMB) << 20 / bufferedPart, Logger: d.Logger,
+		MaxBuffered: int64(s.MemoryMB) << 20 / bufferedPart,
 	}
 	d.callers = &callers{idle: d.idleTime}
 	d.links = &link.Server{Address: s.LinkAddress, Logger: d.Logger}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -44,6 +44,7 @@
 	Reading func() bool
 	Logger  zerolog.Logger
 
+	now   func() clock.Instant // replaced in tests
 	mu    sync.Mutex
 	peers roster
 	wake  chan struct{}
@@ -57,6 +58,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.peers == nil {
+		if x.now == nil {
+			x.now = clock.Now
+		}
 		x.peers, x.wake = roster{}, make(chan struct{}, 1)
 		x.live = map[string]bool{}
 	}
@@ -103,7 +107,7 @@
 // round calls the peers whose turn it is, and drops those that are gone.
 func (x *Exchange) round(ctx context.Context) {
 	x.mu.Lock()
-	now := clock.Now()
+	now := x.now()
 	x.peers.forget(now)
 	list := x.addresses(now)
 	x.watch(now)
@@ -118,7 +122,7 @@
 func (x *Exchange) call(ctx context.Context, address, name string) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := clock.Now()
+	asked := x.now()
 	message := x.message(!x.Reading() || x.Mirror.Age(asked) > freshTime, name)
 	var reply Message
 	if err := x.Link.Call(limited, address, Service+".Swap", message, &reply); err != nil {
@@ -135,7 +139,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	now := clock.Now()
+	now := x.now()
 	p := x.peers.get(name)
 	if p.answering(now) {
 		x.Logger.Info().Err(err).Str("dependency", "peer").Str("peer", name).Dur("silent", now.Sub(p.spoke)).Msg("peer does not answer")
@@ -152,7 +156,7 @@
 
 // message returns what this daemon tells a peer.
 func (x *Exchange) message(want bool, to string) Message {
-	now := clock.Now()
+	now := x.now()
 	m := Message{
 		Revision: x.Mirror.View().Revision, ProofAge: x.Mirror.Age(now), Want: want,
 		Report: x.Report(), Marks: x.Marks.Recent(time.Now(), markTime),
@@ -180,7 +184,7 @@
 // take learns from a message. The proof that it carries counts from asked,
 // which is zero for messages that weren't asked for.
 func (x *Exchange) take(m Message, asked clock.Instant, answered bool) {
-	now := clock.Now()
+	now := x.now()
 	if m.From.Name == "" || m.From.Name == x.Self.Name {
 		return
 	}
@@ -263,7 +267,7 @@
 	x.take(m, 0, false)
 	*reply = x.message(false, m.From.Name)
 	if v := x.Mirror.View(); m.Want && v.Revision > m.Revision {
-		if reply.Changes, reply.Complete = v.Since(m.Revision, clock.Now()); !reply.Complete {
+		if reply.Changes, reply.Complete = v.Since(m.Revision, x.now()); !reply.Complete {
 			reply.Entries = v.Entries()
 		}
 		reply.Revision = v.Revision
@@ -271,7 +275,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if m.Group == nil && x.large() {
-		reply.Fleet = x.fleet(clock.Now(), reply.Report, m.From.Name)
+		reply.Fleet = x.fleet(x.now(), reply.Report, m.From.Name)
 		x.shorten(reply.Fleet, m.From.Name)
 		reply.Group = nil
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -22,6 +22,7 @@
 	receivers map[string]*Receiver
 	cut       map[string]bool
 	calls     int
+	at        clock.Instant // the time of all daemons
 }
 
 // Call implements port.Link.
@@ -49,6 +50,7 @@
 			Status:  func() (bool, bool) { return true, false },
 			Report:  func() Report { return Report{Targets: map[string]Work{"t": {Requests: 1, Prompt: 10}}} },
 			Reading: func() bool { return true },
+			now:     func() clock.Instant { return n.at },
 		}
 		n.receivers[x.Self.Link] = x.Receiver()
 		all = append(all, x)
@@ -61,7 +63,7 @@
 	var done sync.WaitGroup
 	for _, x := range all {
 		x.mu.Lock()
-		list := x.addresses(clock.Now())
+		list := x.addresses(x.now())
 		x.summed = 0 // the sums are older than a round in operation
 		x.mu.Unlock()
 		for address, name := range list {
@@ -72,8 +74,9 @@
 }
 
 // settle plays rounds until all know of all.
-func settle(all []*Exchange) {
+func (n *network) settle(all []*Exchange) {
 	for range 5 {
+		n.at = n.at.Add(Interval)
 		round(all)
 	}
 	for _, x := range all {
@@ -84,7 +87,7 @@
 // Guards against peers that are never found, and against load of others that is
 // not counted.
 func TestPeersAreFound(t *testing.T) {
-	n := &network{receivers: map[string]*Receiver{}, cut: map[string]bool{}}
+	n := &network{at: clock.Instant(time.Hour), receivers: map[string]*Receiver{}, cut: map[string]bool{}}
 	all := start(n, 4)
 	for range 3 {
 		round(all)
@@ -92,7 +95,7 @@
 	// Those that know only the seed are found by it calling back.
 	qt.Assert(t, all[0].Peers(), qt.HasLen, 3)
 	qt.Assert(t, all[0].Totals().Targets["t"], qt.Equals, Work{Requests: 3, Prompt: 30})
-	at := clock.Now()
+	at := all[0].now()
 	for _, p := range all[0].Peers() {
 		qt.Assert(t, p.Live(at), qt.IsTrue)
 		qt.Assert(t, p.Live(at.Add(LiveTime+time.Second)), qt.IsFalse)
@@ -101,7 +104,7 @@
 
 // Guards against marks of crashes that stay at one daemon.
 func TestMarksSpread(t *testing.T) {
-	n := &network{receivers: map[string]*Receiver{}, cut: map[string]bool{}}
+	n := &network{at: clock.Instant(time.Hour), receivers: map[string]*Receiver{}, cut: map[string]bool{}}
 	all := start(n, 2)
 	for _, crash := range []string{"t1@1", "t2@2"} {
 		all[1].Marks.Crash(time.Now(), crash, []uint64{7})
@@ -121,7 +124,7 @@
 		entries = append(entries, port.Entry{Key: w.Key, Value: w.Value, Revision: int64(i + 1)})
 	}
 	for _, x := range all {
-		x.Mirror.Adopt(int64(len(all)), entries, nil, false, clock.Now())
+		x.Mirror.Adopt(int64(len(all)), entries, nil, false, x.now())
 	}
 }
 
@@ -140,17 +143,17 @@
 func TestLargeFleet(t *testing.T) {
 	for _, count := range []int{20, 60, 200} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
-			n := &network{receivers: map[string]*Receiver{}, cut: map[string]bool{}}
+			n := &network{at: clock.Instant(time.Hour), receivers: map[string]*Receiver{}, cut: map[string]bool{}}
 			all := start(n, count)
 			listIn(t, all)
-			settle(all)
+			n.settle(all)
 			qt.Assert(t, hubsOf(all), qt.DeepEquals, map[string]int{"z0": hubsPerDomain, "z1": hubsPerDomain})
 			reading := 0
 			for _, x := range all {
 				if x.Reader() {
 					reading++
 				}
-				qt.Check(t, len(x.addresses(clock.Now())) < 2*hubsPerDomain, qt.IsTrue)
+				qt.Check(t, len(x.addresses(x.now())) < 2*hubsPerDomain, qt.IsTrue)
 				qt.Check(t, x.Peers(), qt.HasLen, count-1)
 				qt.Check(t, x.Totals().Targets["t"], qt.Equals, Work{Requests: count - 1, Prompt: float64(10 * (count - 1))})
 			}
@@ -161,13 +164,13 @@
 
 // Guards against hubs on small machines while there are large ones.
 func TestHubsOnLargeMachines(t *testing.T) {
-	n := &network{receivers: map[string]*Receiver{}, cut: map[string]bool{}}
+	n := &network{at: clock.Instant(time.Hour), receivers: map[string]*Receiver{}, cut: map[string]bool{}}
 	all := start(n, 30)
 	for _, i := range []int{4, 5, 20, 21} {
 		all[i].Self.Cores = 0.8
 	}
 	listIn(t, all)
-	settle(all)
+	n.settle(all)
 	for i, x := range all {
 		qt.Check(t, x.Hub(), qt.Equals, x.Self.Cores > 0, qt.Commentf("daemon %d", i))
 	}
@@ -176,10 +179,10 @@
 // Guards against a failure domain that is cut off from the others by the loss of
 // its hubs.
 func TestHubsLost(t *testing.T) {
-	n := &network{receivers: map[string]*Receiver{}, cut: map[string]bool{}}
+	n := &network{at: clock.Instant(time.Hour), receivers: map[string]*Receiver{}, cut: map[string]bool{}}
 	all := start(n, 40)
 	listIn(t, all)
-	settle(all)
+	n.settle(all)
 	var rest []*Exchange
 	for _, x := range all {
 		if x.Hub() && x.Self.Domain == "z0" {
@@ -189,12 +192,12 @@
 		}
 	}
 	qt.Assert(t, rest, qt.HasLen, 38)
-	settle(rest)
+	n.settle(rest)
 	qt.Assert(t, hubsOf(rest), qt.DeepEquals, map[string]int{"z0": hubsPerDomain, "z1": hubsPerDomain})
 	for _, x := range rest {
 		live := 0
 		for _, p := range x.Peers() {
-			if p.spoke != 0 && p.missed != 0 && !p.answering(clock.Now()) {
+			if p.spoke != 0 && p.missed != 0 && !p.answering(x.now()) {
 				continue
 			}
 			live++
@@ -207,13 +210,13 @@
 
 // Guards against leaving daemons that others go on listing.
 func TestLeavingIsPassedOn(t *testing.T) {
-	n := &network{receivers: map[string]*Receiver{}, cut: map[string]bool{}}
+	n := &network{at: clock.Instant(time.Hour), receivers: map[string]*Receiver{}, cut: map[string]bool{}}
 	all := start(n, 30)
 	listIn(t, all)
-	settle(all)
+	n.settle(all)
 	gone := all[7]
 	gone.Status = func() (bool, bool) { return false, true }
-	settle(all)
+	n.settle(all)
 	for _, x := range all {
 		for _, p := range x.Peers() {
 			if p.Status.Name == gone.Self.Name {
@@ -225,15 +228,15 @@
 
 // Guards against lists of daemons that are sent with every call.
 func TestListsAreSentOnce(t *testing.T) {
-	n := &network{receivers: map[string]*Receiver{}, cut: map[string]bool{}}
+	n := &network{at: clock.Instant(time.Hour), receivers: map[string]*Receiver{}, cut: map[string]bool{}}
 	all := start(n, 30)
 	listIn(t, all)
-	settle(all)
+	n.settle(all)
 	for _, x := range all {
 		if x.Hub() {
 			continue
 		}
-		for address := range x.addresses(clock.Now()) {
+		for address := range x.addresses(x.now()) {
 			var reply Message
 			qt.Assert(t, n.receivers[address].Swap(x.message(false, reply.From.Name), &reply), qt.IsNil)
 			var again Message
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -74,7 +74,7 @@
 func (x *Exchange) Hub() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return !x.large() || x.hub(clock.Now())
+	return !x.large() || x.hub(x.now())
 }
 
 // Reader tells whether this daemon polls the key-value service: in small fleets
@@ -85,7 +85,7 @@
 	if !x.large() {
 		return true
 	}
-	now := clock.Now()
+	now := x.now()
 	var best []Status
 	for _, d := range x.domains() {
 		if hubs := x.hubs(d, now); len(hubs) > 0 {
--- a/exchange/load.go
+++ b/exchange/load.go
@@ -19,7 +19,7 @@
 func (x *Exchange) Totals() Report {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.others(clock.Now())
+	return x.others(x.now())
 }
 
 func (x *Exchange) others(now clock.Instant) Report {
--- a/frontend/claimed.go
+++ b/frontend/claimed.go
@@ -29,8 +29,8 @@
 	if bytes == 0 {
 		bytes = maxReading
 	}
-	if !c.handler.running.addUnsent(c, limit, bytes) {
-		c.refuse(&request.Refusal{Reason: request.QueueFull, Detail: "too many claimed requests wait", RetryAfter: time.Second})
+	if !c.handler.bounds.addUnsent(c, limit, bytes) {
+		c.Refuse(&request.Refusal{Reason: request.QueueFull, Detail: "too many claimed requests wait", RetryAfter: time.Second})
 		return time.Time{}, false
 	}
 	for range maxClaims {
@@ -40,32 +40,32 @@
 		if err != nil {
 			refusal := &request.Refusal{Reason: request.ClaimUnavailable, Detail: "the idempotency key can't be claimed now", RetryAfter: 2 * time.Second}
 			if c.caller.Err() != nil {
-				refusal = c.refusalOf(ctx, err)
+				refusal = c.RefusalOf(ctx, err)
 			}
-			c.handler.Logger.Warn().Err(err).Str("request", c.id).Msg("claim failed")
-			c.refuse(refusal)
+			c.handler.Logger.Warn().Err(err).Str("request", c.ID).Msg("claim failed")
+			c.Refuse(refusal)
 			return time.Time{}, false
 		}
 		switch d := decision.(type) {
 		case claim.Granted:
-			c.next(request.Claim{Attempt: c.claim.Attempt.String()})
+			c.Next(request.Claim{Attempt: c.claim.Attempt.String()})
 			c.granted, c.out.keep = true, true
 			return d.Until, true
 		case claim.Mismatch:
-			c.refuse(&request.Refusal{Reason: request.KeyReused, Detail: "the idempotency key was used with another request"})
+			c.Refuse(&request.Refusal{Reason: request.KeyReused, Detail: "the idempotency key was used with another request"})
 			return time.Time{}, false
 		case claim.Full:
-			c.refuse(&request.Refusal{Reason: request.ClaimsFull, Detail: "no room for idempotency keys", RetryAfter: 10 * time.Second})
+			c.Refuse(&request.Refusal{Reason: request.ClaimsFull, Detail: "no room for idempotency keys", RetryAfter: 10 * time.Second})
 			return time.Time{}, false
 		case claim.Duplicate:
-			c.handler.running.resent(c) // it waits for another request, not for a slot
+			c.handler.bounds.resent(c) // it waits for another request, not for a slot
 			if c.replay(ctx, d) {
 				return time.Time{}, false
 			}
 			c.claim.Supersedes, c.claim.Attempt = d.Attempt, claim.NewAttempt()
 		}
 	}
-	c.refuse(&request.Refusal{Reason: request.ClaimUnavailable, Detail: "other requests with the same key are being refused", RetryAfter: time.Second})
+	c.Refuse(&request.Refusal{Reason: request.ClaimUnavailable, Detail: "other requests with the same key are being refused", RetryAfter: time.Second})
 	return time.Time{}, false
 }
 
@@ -74,24 +74,24 @@
 func (c *call) replay(ctx context.Context, d claim.Duplicate) bool {
 	earlier, err := c.handler.Claims.Await(ctx, c.claim, d)
 	if err != nil {
-		c.next(request.Resend{})
-		c.timeout = ctx.Err() != nil
-		c.lose("the response to the earlier request can't be had: " + err.Error())
+		c.Next(request.Resend{})
+		c.Timeout = ctx.Err() != nil
+		c.Lose("the response to the earlier request can't be had: " + err.Error())
 		return true
 	}
 	switch e := earlier.(type) {
 	case claim.Answered:
-		c.next(request.Resend{})
+		c.Next(request.Resend{})
 		header := maps.Clone(e.Answer.Header)
 		outcome := request.Outcome(header.Get(OutcomeHeader))
-		c.next(request.Replay{Status: e.Answer.Status, Outcome: outcome})
+		c.Next(request.Replay{Status: e.Answer.Status, Outcome: outcome})
 		c.out.stage(e.Answer.Status, header, outcome, false)
 		c.out.staged.body = e.Answer.Body
 		c.out.commit(false)
 		return true
 	case claim.Lost:
-		c.next(request.Resend{})
-		c.lose(e.Cause)
+		c.Next(request.Resend{})
+		c.Lose(e.Cause)
 		return true
 	default:
 		return false
@@ -100,22 +100,23 @@
 
 // settleClaim gives the claim back if the request was not run, and keeps its
 // response for resends otherwise.
-func (c *call) settleClaim(outcome request.Outcome) {
+func (c *call) settleClaim() {
 	if !c.granted {
 		return
 	}
+	outcome, _ := request.OutcomeOf(c.State)
 	if outcome != request.OutcomeNotRun {
 		cause := "the response was not kept"
-		if u, ok := c.state.(request.Unknown); ok {
+		if u, ok := c.State.(request.Unknown); ok {
 			cause = u.Cause
 		}
-		c.handler.Claims.Finish(c.claim, c.out.answer(request.ProblemOfUnknown(c.id, request.Unknown{Cause: cause}, c.timeout)))
+		c.handler.Claims.Finish(c.claim, c.out.answer(request.ProblemOfUnknown(c.ID, request.Unknown{Cause: cause}, c.Timeout)))
 		return
 	}
 	_ = c.out.Flush() // the caller need not wait for the release
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.caller), releaseTimeout)
 	defer cancel()
 	if err := c.handler.Claims.Release(ctx, c.claim); err != nil {
-		c.handler.Logger.Warn().Err(err).Str("request", c.id).Msg("claim not released")
+		c.handler.Logger.Warn().Err(err).Str("request", c.ID).Msg("claim not released")
 	}
 }
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -13,9 +13,9 @@
 	"github.com/rs/zerolog"
 
 	"rattanline.example/rattanline/claim"
-	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/relay"
 	"rattanline.example/rattanline/request"
 	"rattanline.example/rattanline/timeline"
 	"rattanline.example/rattanline/upstream"
@@ -39,19 +39,6 @@
 	Await(ctx context.Context, r claim.Request, d claim.Duplicate) (claim.Earlier, error)
 }
 
-// Quarantine keeps poison requests away from targets.
-type Quarantine interface {
-	Quarantined(now time.Time, fingerprint uint64) bool
-	Marked(now time.Time, fingerprint uint64) bool
-	Crash(now time.Time, crash string, fingerprints []uint64)
-}
-
-// RetryBudget bounds retries to a part of the requests.
-type RetryBudget interface {
-	Request(service string, now clock.Instant)
-	TryRetry(service string, now clock.Instant) bool
-}
-
 // Handler serves callers. Fields are set before the first request.
 type Handler struct {
 	Scheduler     port.Scheduler
@@ -66,8 +53,8 @@
 	// EntriesTTL is how long callers may keep the entries; zero means 10 s.
 	EntriesTTL  time.Duration
 	Ready       func() error
-	Quarantine  Quarantine
-	RetryBudget RetryBudget
+	Quarantine  relay.Quarantine
+	RetryBudget relay.RetryBudget
 	// Refresh fetches at least the version of the configuration.
 	Refresh  func(ctx context.Context, version uint64) error
 	Recorder timeline.Recorder
@@ -78,9 +65,21 @@
 	// response; zero means 20 s.
 	Stall time.Duration
 
-	running  running
-	refresh  refresh
-	counters sync.Map // of outcomeLabels to *metrics.Counter
+	once    sync.Once
+	path    *relay.Path
+	bounds  bounds
+	refresh refresh
+}
+
+// relay returns the path that requests take to targets.
+func (h *Handler) relay() *relay.Path {
+	h.once.Do(func() {
+		h.path = &relay.Path{
+			Scheduler: h.Scheduler, Quarantine: h.Quarantine, Retries: h.RetryBudget, MarkTime: h.MarkTime,
+			Recorder: h.Recorder, Logger: h.Logger,
+		}
+	})
+	return h.path
 }
 
 const (
@@ -88,7 +87,6 @@
 	defaultStall   = 20 * time.Second
 	// Bounds the time of a body, so that slow senders don't hold memory.
 	bodyTimeout = 30 * time.Second
-	maxAttempts = 4
 )
 
 // The headers between callers and daemons.
@@ -135,23 +133,25 @@
 // serveCall runs one request of a client account from intake to its log line.
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request) {
 	c := &call{
-		handler: h, id: uuid.NewString(), arrived: time.Now(), state: request.Queued{},
-		out: &responder{writer: w, control: http.NewResponseController(w), stall: h.stall()},
+		Call:    relay.Call{ID: uuid.NewString(), Arrived: time.Now()},
+		handler: h, out: &responder{writer: w, control: http.NewResponseController(w), stall: h.stall()},
 	}
-	c.out.id, c.out.version = c.id, h.Configuration.Version
+	c.Listener = c
+	c.out.id, c.out.version = c.ID, h.Configuration.Version
 	if r.ContentLength != 0 {
 		// Also holds for bodies of refused requests, which the server reads.
-		_ = c.out.control.SetReadDeadline(c.arrived.Add(bodyTimeout))
+		_ = c.out.control.SetReadDeadline(c.Arrived.Add(bodyTimeout))
 	}
-	h.running.add(c)
-	defer h.running.remove(c)
+	h.relay().Begin(&c.Call)
+	defer h.relay().End(&c.Call)
+	defer h.bounds.sent(c)
 	h.catchUp(r)
 	if refusal := c.intake(w, r); refusal != nil {
-		c.refuse(refusal)
+		c.Refuse(refusal)
 	} else {
 		c.run(r.Context())
 	}
-	c.finish()
+	c.settleClaim()
 	if c.out.cut {
 		// The connection is aborted, so that a cut response never ends cleanly.
 		panic(http.ErrAbortHandler)
@@ -160,4 +160,4 @@
 
 // Drain waits until no request is in flight and returns those that are left
 // when the context ends.
-func (h *Handler) Drain(ctx context.Context) []InFlight { return h.running.drain(ctx) }
+func (h *Handler) Drain(ctx context.Context) []relay.InFlight { return h.relay().Drain(ctx) }
--- a/frontend/intake.go
+++ b/frontend/intake.go
@@ -46,7 +46,7 @@
 	if !strings.EqualFold(scheme, "Bearer") || !known {
 		return &request.Refusal{Reason: request.Unauthenticated, Detail: "missing or wrong key"}
 	}
-	c.account = account
+	c.account, c.Account = account, account.Name
 	if h.Refuse != nil {
 		if refusal := h.Refuse(); refusal != nil {
 			c.out.closing = refusal.Reason == request.Stopping
@@ -82,11 +82,11 @@
 	if most == 0 {
 		most = maxReading
 	}
-	if !c.handler.running.addReading(c.account.Name, expected, most) {
+	if !c.handler.bounds.addReading(c.account.Name, expected, most) {
 		c.out.closing = true
 		return &request.Refusal{Reason: request.QueueFull, Detail: "too many bodies are being received", RetryAfter: time.Second}
 	}
-	defer c.handler.running.dropReading(c.account.Name, expected)
+	defer c.handler.bounds.dropReading(c.account.Name, expected)
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	// The server watches the connection for the caller's departure by reading.
 	_ = c.out.control.SetReadDeadline(time.Time{})
@@ -139,7 +139,7 @@
 	if !slices.Contains(c.account.Services, service.Name) {
 		return &request.Refusal{Reason: request.Forbidden, Detail: fmt.Sprintf("service %q not allowed", name)}
 	}
-	c.service = service
+	c.service, c.Service = service, service.Name
 	return nil
 }
 
@@ -202,7 +202,7 @@
 			timeout = time.Duration(ms) * time.Millisecond
 		}
 	}
-	c.deadline = c.arrived.Add(timeout)
+	c.Deadline = c.Arrived.Add(timeout)
 	switch s := header.Get(UrgencyHeader); s {
 	case "", "urgent":
 		c.urgent = true
@@ -217,7 +217,10 @@
 		}
 		c.hint = hint
 	}
-	c.idempotent = request.Idempotent(c.method, c.service)
+	c.Repeat = config.RepeatNever
+	if c.idempotent = request.Idempotent(c.method, c.service); c.idempotent {
+		c.Repeat = config.RepeatAny
+	}
 	key := header.Get(KeyHeader)
 	if !c.idempotent {
 		if key == "" || len(key) > maxKeyLength || len(header.Values(KeyHeader)) > 1 {
@@ -244,6 +247,6 @@
 		// Many plain requests have no body; the path is their content.
 		content = strings.Join([]string{content, c.method, c.path, c.query}, " ")
 	}
-	c.fingerprint = request.Fingerprint(c.account.Name, content, c.body)
+	c.Fingerprint = request.Fingerprint(c.account.Name, content, c.body)
 	return nil
 }
--- a/frontend/intake_test.go
+++ b/frontend/intake_test.go
@@ -54,23 +54,23 @@
 	q.ContentLength = 900
 	done := make(chan error)
 	go func() { _, err := http.DefaultClient.Do(q); done <- err }()
-	for len(r.running.readers()) == 0 {
+	for len(r.bounds.readers()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	assertReply(t, call("PUT", "/services/stock/x", strings.Repeat("x", 900)), 429, request.OutcomeNotRun)
 	_ = body.CloseWithError(io.ErrUnexpectedEOF)
 	qt.Assert(t, <-done, qt.IsNotNil)
-	for len(r.running.readers()) > 0 {
+	for len(r.bounds.readers()) > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	assertReply(t, call("PUT", "/services/stock/x", strings.Repeat("x", 900)), 200, request.OutcomeRan)
 }
 
 // readers returns the accounts whose bodies are being received.
-func (r *running) readers() (accounts []string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for account := range r.reading {
+func (b *bounds) readers() (accounts []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for account := range b.reading {
 		accounts = append(accounts, account)
 	}
 	return accounts
--- a/frontend/responder.go
+++ b/frontend/responder.go
@@ -46,7 +46,9 @@
 	// keep stores the response for resends.
 	keep bool
 
-	staged    response
+	staged response
+	// held is the complete response of the last attempt.
+	held      *response
 	stream    bool
 	committed bool
 	cut       bool
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"rattanline.example/rattanline/config"
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/relay"
+	"rattanline.example/rattanline/request"
+	"rattanline.example/rattanline/upstream"
+)
+
+// resendRetry is what callers are told whose request was not run and is not sent
+// again.
+const resendRetry = 400 * time.Millisecond
+
+// call is one request. It belongs to one goroutine, and implements
+// relay.Listener.
+type call struct {
+	relay.Call
+	handler *Handler
+	out     response
+
+	demand            request.Demand
+	index             *config.Index
+	age               time.Duration
+	routed            config.Route
+	keyed             bool
+	method, uri, host string
+	header            http.Header
+	body              []byte
+
+	lastEvent string
+	firstAt   time.Time
+}
+
+var _ relay.Listener = (*call)(nil)
+
+// Job implements relay.Listener.
+func (c *call) Job() port.Job {
+	return port.Job{
+		RequestID: c.ID, Account: c.Account, Service: c.Service, Urgent: true, Deadline: c.Deadline,
+		Cost: c.demand.Work(), Bytes: int64(len(c.body)), Fingerprint: c.Fingerprint,
+		LatencyAim: c.routed.LatencyAim.Std(), Demand: c.demand,
+	}
+}
+
+// Barred implements relay.Listener.
+func (c *call) Barred(ctx context.Context) *request.Refusal {
+	if c.handler.Left(ctx) {
+		return &request.Refusal{Reason: request.CallerGone, Detail: "caller left"}
+	}
+	return c.stale()
+}
+
+// Send implements relay.Listener.
+func (c *call) Send(ctx context.Context, slot port.Assignment) relay.Result {
+	h := c.handler
+	reply, err := h.Pool.Send(ctx, c.outgoing())
+	if err != nil {
+		return c.unanswered(ctx, err)
+	}
+	defer func() { _ = reply.Close() }()
+	answer := h.Protocol.Answer(reply.Response, c.ID)
+	if answer.Load != nil {
+		h.Loaded(c.Target.Name, *answer.Load)
+	}
+	if answer.NotRun {
+		drain(reply)
+		result := relay.Result{Attempt: port.Attempt{Result: port.Overloaded}, Err: errors.Errorf("target answered %d, not run", reply.StatusCode)}
+		if answer.Elsewhere {
+			result.Result = port.Misdirected
+		}
+		return result
+	}
+	c.Wrote()
+	c.Next(request.Answer{Status: reply.StatusCode})
+	var first time.Time
+	result := c.forward(reply, answer, func() {
+		first = time.Now()
+		if c.firstAt.IsZero() {
+			c.firstAt = first
+		}
+		slot.Began()
+	})
+	if !first.IsZero() {
+		result.FirstByte = first.Sub(c.SentAt)
+	}
+	result.Written, result.Committed = true, c.out.committed
+	if ctx.Err() != nil && !result.Complete {
+		result.Result = port.Canceled
+	}
+	return result
+}
+
+// outgoing returns the request as it is sent to the target.
+func (c *call) outgoing() upstream.Call {
+	protocol := c.handler.Protocol
+	return upstream.Call{
+		Address: upstream.AddressOf(c.Target), Key: c.Target.Name, Method: c.method, URI: c.uri, Host: c.host,
+		Header: protocol.Outgoing(c.header, Outgoing{
+			Target: c.Target.Name, Account: c.Account, Left: time.Until(c.Deadline), LastEvent: c.lastEvent, Source: c.Basis.Source,
+		}),
+		Body: c.body, Ours: func(r *http.Response) bool { return protocol.Answer(r, c.ID).Belongs },
+	}
+}
+
+// unanswered tells what an attempt without a response says of the target.
+func (c *call) unanswered(ctx context.Context, err error) relay.Result {
+	r := relay.Result{Attempt: port.Attempt{Result: port.Crashed}, Written: true, Err: err, Committed: c.out.committed}
+	var s *upstream.SendError
+	if errors.As(err, &s) && !s.Written {
+		r.Written, r.Result = false, port.NotSent
+		if s.Dial {
+			r.Result = port.Unreachable
+		}
+	}
+	if ctx.Err() != nil {
+		r.Result = port.Canceled
+	}
+	if r.Written {
+		c.Wrote()
+	}
+	return r
+}
+
+// Deliver implements relay.Listener.
+func (c *call) Deliver() { c.out.commit(c.method == http.MethodHead) }
+
+// Refused implements relay.Listener.
+func (c *call) Refused(r *request.Refusal) {
+	if r.Reason == request.CallerGone {
+		c.out.status, c.out.cut = statusCallerLeft, true
+		return
+	}
+	retry := r.RetryAfter
+	if status := r.Status(); retry <= 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		retry = resendRetry
+	}
+	c.out.fail(r.Status(), r.Detail, retry)
+}
+
+// Lost implements relay.Listener.
+func (c *call) Lost(cause string) {
+	switch {
+	case c.out.gone, c.CallerGone():
+		c.out.status, c.out.cut = statusCallerLeft, true
+	case c.out.committed:
+		c.out.cut = true
+	case c.out.held:
+		c.Deliver()
+	case c.Timeout:
+		c.out.fail(http.StatusGatewayTimeout, cause, 0)
+	default:
+		c.out.fail(http.StatusBadGateway, cause, 0)
+	}
+}
+
+// statusCallerLeft stands in logs and counters for callers that left before
+// their answer.
+const statusCallerLeft = 499
+
+// Status implements relay.Listener.
+func (c *call) Status() int { return c.out.status }
+
+// Describe implements relay.Listener.
+func (c *call) Describe(e *zerolog.Event) {
+	e.Str("route", c.routed.Name).Dur("config-age", c.age).Bool("cut", c.out.cut)
+	if c.index != nil {
+		e.Uint64("config", c.index.Version())
+	}
+	if !c.firstAt.IsZero() {
+		e.Dur("first", c.firstAt.Sub(c.Arrived))
+	}
+}
--- a/relay/protocol.go
+++ b/gateway/protocol.go
@@ -1,7 +1,6 @@
-// Package relay takes requests that name a route by host and path, and forwards
-// each to one target of the route's service at a time. It decides what may be
-// sent again, and what a caller is told.
-package relay
+// Package gateway is the HTTP listener for requests that name a route by host and
+// path.
+package gateway
 
 import (
 	"net/http"
--- a/relay/call.go
+++ b/relay/call.go
@@ -2,271 +2,257 @@
 
 import (
 	"context"
-	"net/http"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/request"
-	"rattanline.example/rattanline/upstream"
+	"rattanline.example/rattanline/timeline"
 )
 
-const (
-	// maxSends bounds the targets that one request is sent to, those that did
-	// not run it included.
-	maxSends = 4
-	// resendRetry is what callers are told whose request was not run and is not
-	// sent again.
-	resendRetry = 400 * time.Millisecond
-	// quarantineRetry is what callers of a quarantined request are told.
-	quarantineRetry = time.Minute
-)
-
-// call is one request. It belongs to one goroutine.
-type call struct {
-	handler *Handler
-	writer  http.ResponseWriter
+// maxSends bounds the targets that one request is sent to, those that did not
+// run it included.
+const maxSends = 4
 
-	arrived, deadline time.Time
-	demand            request.Demand
-	index             *config.Index
-	age               time.Duration
-	route             config.Route
-	service           string
-	account           string
-	keyed             bool
-	method, uri, host string
-	header            http.Header
-	body              []byte
-	fingerprint       uint64
+// Call is one request. It belongs to one goroutine.
+type Call struct {
+	// These are set before Run.
+	ID, Account, Service string
+	Arrived, Deadline    time.Time
+	Fingerprint          uint64
+	// Repeat tells whether the request may run again, MaxRuns at how many targets;
+	// zero means any that it may be sent to.
+	Repeat   config.Repeat
+	MaxRuns  int
+	Listener Listener
 
-	state request.State
-	// ran counts the targets that may have run the request, sends all targets.
-	ran, sends int
-	tried      []string
-	target     config.Target
-	basis      port.Basis
+	State request.State
+	// Sends counts the targets that the request was sent to, Runs those that may
+	// have run it.
+	Sends, Runs int
+	Target      config.Target
+	Basis       port.Basis
+	SentAt      time.Time
+	// Timeout tells that the time of the request was over.
+	Timeout bool
 
-	// granted tells that a retry was taken from the budget and not used yet.
-	granted   bool
-	committed bool
-	lastEvent string
-	firstAt   time.Time
-
-	status int
-	cause  string
-	logged bool
+	path   *Path
+	caller context.Context
+	avoid  []string
+	// crashed is when a target last crashed under the request.
+	crashed time.Time
 }
 
-// step is how one attempt ended.
-type step int
+// Next changes the state. A transition that isn't allowed is a fault of this
+// program; the request then ends as unknown, which promises nothing.
+func (c *Call) Next(e request.Event) {
+	state, err := request.Next(c.State, e)
+	if err != nil {
+		c.path.Logger.Error().Err(err).Str("request", c.ID).Msg("invalid request state")
+		state = request.Unknown{Cause: err.Error()}
+	}
+	c.State = state
+}
 
-const (
-	done    step = iota // the caller has its answer
-	again               // the request may be sent to another target
-	blocked             // it may not be sent again
-)
+// Wrote notes that a byte of the request may have reached the target.
+func (c *Call) Wrote() {
+	c.Runs++
+	c.Next(request.Write{})
+}
 
-// run brings the request to an end.
-func (c *call) run(ctx context.Context) {
-	h := c.handler
-	c.state = request.Queued{}
-	h.Retries.Request(c.service, now())
-	for {
-		result, err := c.attempt(ctx)
-		switch {
-		case result == done:
-			return
-		case result == again && ctx.Err() == nil && c.mayResend():
-			retries.Inc()
-			h.Logger.Info().Str("request", c.demand.ID).Str("target", c.target.Name).Int("sends", c.sends).
-				Err(err).Msg("request sent again")
-			continue
-		}
-		c.fail(ctx, err)
-		return
+// barred returns why the request must not be sent now.
+func (c *Call) barred(ctx context.Context) *request.Refusal {
+	if r := c.Listener.Barred(ctx); r != nil {
+		return r
 	}
+	return c.Quarantined()
 }
 
-// mayResend takes a retry from the budget. The last attempt must not have run,
-// or the route must allow another run.
-func (c *call) mayResend() bool {
-	if c.granted {
-		c.granted = false
-		return true
+// quarantineTime is what callers of a quarantined request are told to wait.
+const quarantineTime = 10 * time.Minute
+
+// Quarantined refuses a request that crashes targets.
+func (c *Call) Quarantined() *request.Refusal {
+	if q := c.path.Quarantine; q == nil || !q.Quarantined(time.Now(), c.Fingerprint) {
+		return nil
 	}
-	if c.sends >= maxSends || c.ran >= c.route.MaxAttempts {
-		return false
+	return &request.Refusal{
+		Reason: request.Quarantined, Detail: "targets crashed while they ran this request", RetryAfter: quarantineTime,
 	}
-	return c.handler.Retries.TryRetry(c.service, now())
 }
 
-// grantResend takes a retry before the response at hand is given up for it.
-func (c *call) grantResend() bool {
-	c.granted = c.route.Repeat == config.RepeatAny && !c.committed && c.mayResend()
-	return c.granted
+// job describes the request. One that may have crashed a target is kept from
+// others of that kind: a crash would tell nothing of either.
+func (c *Call) job() port.Job {
+	job := c.Listener.Job()
+	job.Avoid = c.avoid
+	if q := c.path.Quarantine; q != nil {
+		now := time.Now()
+		if q.Marked(now, c.Fingerprint) {
+			marked := c.path.running.targetsWith(func(f uint64) bool { return q.Marked(now, f) })
+			job.Avoid = append(marked, c.avoid...)
+		}
+	}
+	return job
 }
 
-// attempt gets a target from the scheduler and sends the request there.
-func (c *call) attempt(ctx context.Context) (step, error) {
-	if r := c.barred(); r != nil {
-		c.refuseOr(r)
-		return done, nil
-	}
-	if c.handler.Left(ctx) {
-		return done, nil
+// attempt gets a target from the scheduler, sends the request there, and tells
+// whether it should be sent again.
+func (c *Call) attempt(ctx context.Context) bool {
+	if refusal := c.barred(ctx); refusal != nil {
+		c.Refuse(refusal)
+		return false
 	}
-	slot, err := c.handler.Scheduler.Acquire(ctx, port.Job{
-		RequestID: c.demand.ID, Account: c.account, Service: c.service, Urgent: true, Deadline: c.deadline,
-		Cost: c.demand.Work(), Bytes: int64(len(c.body)), Avoid: c.tried, Fingerprint: c.fingerprint,
-		LatencyAim: c.route.LatencyAim.Std(), Demand: c.demand,
-	})
+	slot, err := c.path.Scheduler.Acquire(ctx, c.job())
 	if err != nil {
-		c.refuseOr(refusalOf(err))
-		return done, nil
+		c.Refuse(c.RefusalOf(ctx, err))
+		return false
 	}
-	c.target, c.basis = slot.Target(), slot.Basis()
-	// Both may have changed while the request waited for a target.
-	if r := c.barred(); r != nil {
+	refusal := c.barred(ctx) // the reasons may have appeared while it waited
+	if refusal == nil && ctx.Err() != nil {
+		refusal = c.RefusalOf(ctx, ctx.Err())
+	}
+	if refusal != nil {
 		slot.Finish(port.Attempt{Result: port.NotSent})
-		c.refuseOr(r)
-		return done, nil
+		c.Refuse(refusal)
+		return false
 	}
-	return c.send(ctx, slot)
+	c.Target, c.Basis, c.SentAt = slot.Target(), slot.Basis(), time.Now()
+	c.Sends++
+	return c.settle(ctx, c.send(ctx, slot))
 }
 
-// barred refuses a request whose key can't be trusted or that crashes targets.
-func (c *call) barred() *refusal {
-	if r := c.stale(); r != nil {
-		return r
-	}
-	if c.handler.Poison.Quarantined(time.Now(), c.fingerprint) {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "targets crashed while they ran this request", retry: quarantineRetry}
+// send makes the attempt, and reports how it ended.
+func (c *Call) send(ctx context.Context, slot port.Assignment) Result {
+	run := c.path.running.enter(c)
+	finished := false
+	defer func() {
+		if !finished { // a panic, after which the server goes on without this request
+			c.path.running.leave(c, run, false)
+			slot.Finish(port.Attempt{Result: port.Failed})
+		}
+	}()
+	result := c.Listener.Send(ctx, slot)
+	if result.Total == 0 {
+		result.Total = time.Since(c.SentAt)
 	}
-	return nil
+	c.path.left(c, run, result.Result == port.Crashed)
+	finished = true
+	slot.Finish(result.Attempt)
+	attemptTime.Update(result.Total.Seconds())
+	return result
 }
 
-// refusalOf turns a refusal of the scheduler into an answer.
-func refusalOf(err error) *refusal {
-	r := &refusal{status: http.StatusServiceUnavailable, reason: err.Error()}
-	var refused *request.Refusal
-	if errors.As(err, &refused) {
-		r.reason, r.retry = refused.Detail, refused.RetryAfter
-		if refused.Reason == request.QueueFull {
-			r.status = http.StatusTooManyRequests
+// Answered notes the incarnation of the target that answered the request.
+func (c *Call) Answered(incarnation string) { c.path.running.answered(c.Target.Name, incarnation) }
+
+// settle ends the request or prepares it for another attempt.
+func (c *Call) settle(ctx context.Context, r Result) bool {
+	if c.mayRetry(ctx, r) {
+		c.Next(request.Retry{Idempotent: c.Repeat != config.RepeatNever, NotRun: r.NotRun})
+		c.avoid = append(c.avoid, c.Target.Name)
+		retries.Inc()
+		c.Record("request-retried", string(r.Result))
+		c.path.Logger.Info().Str("request", c.ID).Str("target", c.Target.Name).Int("sends", c.Sends).
+			Str("result", string(r.Result)).AnErr("cause", r.Err).Msg("request sent again")
+		return true
+	}
+	switch {
+	case r.Complete:
+		c.Next(request.Complete{Trusted: r.Trusted})
+		c.Listener.Deliver()
+	case !r.Written:
+		c.Refuse(c.RefusalOf(ctx, r.Err))
+	default:
+		c.Timeout = errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(c.Deadline)
+		cause := fmt.Sprintf("no complete response of the target: %s", r.Result)
+		if r.Err != nil {
+			cause += ": " + r.Err.Error()
 		}
+		c.Lose(cause)
 	}
-	return r
+	return false
 }
 
-// send sends the request to the target and forwards the response.
-func (c *call) send(ctx context.Context, slot port.Assignment) (step, error) {
-	h := c.handler
-	c.sends++
-	c.tried = append(c.tried, c.target.Name)
-	sentAt := time.Now()
-	ended := port.Attempt{Result: port.Canceled}
-	defer func() {
-		ended.Total = time.Since(sentAt)
-		slot.Finish(ended)
-		attemptTime.Update(ended.Total.Seconds())
-	}()
-	reply, err := h.Pool.Send(ctx, c.outgoing())
-	if err != nil {
-		ended.Result = c.unanswered(ctx, err)
-		return c.afterError(err)
-	}
-	defer func() { _ = reply.Close() }()
-	answer := h.Protocol.Answer(reply.Response, c.demand.ID)
-	if answer.Load != nil {
-		h.Loaded(c.target.Name, *answer.Load)
+// mayRetry tells whether the request is sent again: any that certainly wasn't
+// run, and others as far as they may run again.
+func (c *Call) mayRetry(ctx context.Context, r Result) bool {
+	if r.Final || ctx.Err() != nil || c.Sends >= maxSends || c.MaxRuns > 0 && c.Runs >= c.MaxRuns {
+		return false
 	}
-	if answer.NotRun {
-		c.drain(reply)
-		ended.Result = port.Overloaded
-		if answer.Elsewhere {
-			ended.Result = port.Misdirected
+	if r.Written && !r.NotRun {
+		switch c.Repeat {
+		case config.RepeatNever:
+			return false
+		case config.RepeatAny:
+			if r.Committed {
+				return false
+			}
+		case config.RepeatFrom: // goes on after what the caller has seen
 		}
-		return again, errors.Errorf("target answered %d, not run", reply.StatusCode)
-	}
-	ended.Result = port.Succeeded
-	if reply.StatusCode >= http.StatusInternalServerError {
-		ended.Result = port.Failed
-	}
-	c.mayHaveRun()
-	result, err := c.forward(reply, answer, func() {
-		c.firstAt = time.Now()
-		ended.FirstByte = c.firstAt.Sub(sentAt)
-		slot.Began()
-	})
-	if errors.Is(err, errBroken) && ctx.Err() == nil {
-		ended.Result = port.Crashed
-		h.Crashes.Broke(c.target, c.fingerprint)
 	}
-	return result, err
+	return c.path.Retries == nil || c.path.Retries.TryRetry(c.Service, clock.Now())
 }
 
-// outgoing returns the request as it is sent to the target.
-func (c *call) outgoing() upstream.Call {
-	protocol := c.handler.Protocol
-	return upstream.Call{
-		Address: upstream.AddressOf(c.target), Key: c.target.Name, Method: c.method, URI: c.uri, Host: c.host,
-		Header: protocol.Outgoing(c.header, Outgoing{
-			Target: c.target.Name, Account: c.account, Left: time.Until(c.deadline), LastEvent: c.lastEvent, Source: c.basis.Source,
-		}),
-		Body: c.body, Ours: func(r *http.Response) bool { return protocol.Answer(r, c.demand.ID).Belongs },
-	}
-}
+// CallerGone tells that the caller went away.
+func (c *Call) CallerGone() bool { return c.caller != nil && c.caller.Err() != nil }
 
-// mayHaveRun notes that a byte of the request may have reached a target that
-// did not deny to have run it.
-func (c *call) mayHaveRun() {
-	c.ran++
-	c.next(request.Write{})
+// RefusalOf turns an error before the first byte into a refusal.
+func (c *Call) RefusalOf(ctx context.Context, err error) *request.Refusal {
+	var refusal *request.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case c.CallerGone():
+		return &request.Refusal{Reason: request.CallerGone, Detail: "the caller went away"}
+	case ctx.Err() != nil:
+		return &request.Refusal{Reason: request.DeadlinePassed, Detail: "the deadline passed"}
+	case c.Sends >= maxSends:
+		return &request.Refusal{Reason: request.NoTarget, Detail: fmt.Sprintf("no connection to a target: %v", err)}
+	default:
+		return &request.Refusal{Reason: request.RetryBudget, Detail: fmt.Sprintf("not sent again: %v", err)}
+	}
 }
 
-func (c *call) next(e request.Event) {
-	state, err := request.Next(c.state, e)
-	if err != nil {
-		c.handler.Logger.Error().Err(err).Str("request", c.demand.ID).Msg("invalid request state")
-		state = request.Unknown{Cause: err.Error()}
+// Refuse ends the request without another attempt. If an earlier attempt may
+// have run it, its caller is not told that it has not.
+func (c *Call) Refuse(r *request.Refusal) {
+	c.awaitMarks()
+	c.Timeout = r.Reason == request.DeadlinePassed
+	c.Next(request.Refuse{Refusal: r})
+	switch s := c.State.(type) {
+	case request.Refused:
+		c.Listener.Refused(r)
+	case request.Unknown:
+		c.Listener.Lost(s.Cause)
 	}
-	c.state = state
 }
 
-// unanswered tells what an attempt without a response says of the target.
-func (c *call) unanswered(ctx context.Context, err error) port.AttemptResult {
-	var s *upstream.SendError
-	switch {
-	case ctx.Err() != nil:
-		return port.Canceled
-	case errors.As(err, &s) && s.Dial:
-		return port.Unreachable
-	case errors.As(err, &s) && !s.Written:
-		return port.NotSent
-	default:
-		c.handler.Crashes.Broke(c.target, c.fingerprint)
-		return port.Crashed
-	}
+// Lose ends a request that may have run, without a complete response.
+func (c *Call) Lose(cause string) {
+	c.awaitMarks()
+	c.Next(request.Lose{Cause: cause})
+	c.Listener.Lost(cause)
 }
 
-// afterError tells what may follow an attempt without a response.
-func (c *call) afterError(err error) (step, error) {
-	var s *upstream.SendError
-	if errors.As(err, &s) && !s.Written {
-		return again, err
+// awaitMarks holds the failure of a request under which a target crashed until
+// other daemons know its marks. Its caller often sends it again at once and to
+// another daemon, which would let it crash further targets.
+func (c *Call) awaitMarks() {
+	if !c.crashed.IsZero() {
+		time.Sleep(time.Until(c.crashed.Add(c.path.MarkTime)))
 	}
-	c.mayHaveRun()
-	return c.repeat(err)
 }
 
-// repeat tells whether the request may be sent again after it may have run.
-func (c *call) repeat(err error) (step, error) {
-	if c.route.Repeat == config.RepeatNever || c.route.Repeat == config.RepeatAny && c.committed {
-		return blocked, err
+// Record adds an event of the request to the time line.
+func (c *Call) Record(kind, detail string) {
+	if c.path.Recorder != nil {
+		c.path.Recorder.Record(timeline.Event{
+			Kind: kind, Request: c.ID, Account: c.Account, Target: c.Target.Name, Detail: detail,
+		})
 	}
-	c.next(request.Retry{Idempotent: true})
-	return again, err
 }
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 
 	"rattanline.example/rattanline/config"
-	"rattanline.example/rattanline/quarantine"
 	"rattanline.example/rattanline/upstream"
 )
 
@@ -22,48 +20,69 @@
 	probeTimeout = 400 * time.Millisecond
 )
 
-// Crashes tells crashed targets from broken connections, and marks the requests
-// that were in flight there. The exported fields are set before the first call.
-type Crashes struct {
-	Poison *quarantine.Registry
-	// Marked is called after requests were marked.
-	Marked func()
-	Logger zerolog.Logger
+// Refuses tells that a target accepts no connections, as after a crash.
+func Refuses(t config.Target) bool {
+	conn, err := net.DialTimeout("tcp", upstream.AddressOf(t), probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
 
-	mu      sync.Mutex
-	pending map[string][]uint64 // fingerprints of broken requests, by target
+// broken gathers requests whose connections broke, by target.
+type broken struct {
+	mu           sync.Mutex
+	fingerprints map[string][]uint64
 }
 
-// Broke tells that the connection broke while the target may have run the
-// request.
-func (c *Crashes) Broke(target config.Target, fingerprint uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending == nil {
-		c.pending = map[string][]uint64{}
+// add notes a request and tells whether it is the first one at its target.
+func (b *broken) add(target string, fingerprint uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fingerprints == nil {
+		b.fingerprints = map[string][]uint64{}
 	}
-	first := len(c.pending[target.Name]) == 0
-	c.pending[target.Name] = append(c.pending[target.Name], fingerprint)
-	if first {
-		time.AfterFunc(crashDelay, func() { c.probe(target.Name, upstream.AddressOf(target)) })
+	b.fingerprints[target] = append(b.fingerprints[target], fingerprint)
+	return len(b.fingerprints[target]) == 1
+}
+
+func (b *broken) take(target string) []uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.fingerprints[target]
+	delete(b.fingerprints, target)
+	return list
+}
+
+// left takes the end of an attempt, and marks the requests that were in flight
+// at a target that crashed.
+func (p *Path) left(c *Call, run *targetRun, brokeOff bool) {
+	if !brokeOff || p.Crashed == nil {
+		crash, fingerprints := p.running.leave(c, run, brokeOff)
+		if crash != "" {
+			c.crashed = time.Now()
+			p.mark(c.crashed, crash, fingerprints)
+			c.Record("target-crashed", crash)
+		}
+		return
+	}
+	p.running.leave(c, run, false)
+	if target := c.Target; p.broken.add(target.Name, c.Fingerprint) {
+		time.AfterFunc(crashDelay, func() {
+			crashed := p.Crashed(target)
+			if fingerprints := p.broken.take(target.Name); crashed {
+				p.mark(time.Now(), target.Name, fingerprints)
+			}
+		})
 	}
 }
 
-// probe marks the broken requests if the target no longer accepts connections.
-func (c *Crashes) probe(target, address string) {
-	conn, err := net.DialTimeout("tcp", address, probeTimeout)
-	if err == nil {
-		_ = conn.Close()
+func (p *Path) mark(at time.Time, crash string, fingerprints []uint64) {
+	p.Logger.Warn().Str("crash", crash).Int("requests", len(fingerprints)).Msg("target crashed")
+	if p.Quarantine != nil {
+		p.Quarantine.Crash(at, crash, fingerprints)
 	}
-	c.mu.Lock()
-	fingerprints := c.pending[target]
-	delete(c.pending, target)
-	c.mu.Unlock()
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return
+	if p.Marked != nil {
+		p.Marked()
 	}
-	at := time.Now()
-	c.Poison.Crash(at, target, fingerprints)
-	c.Logger.Warn().Str("target", target).Int("requests", len(fingerprints)).Msg("target crashed")
-	c.Marked()
 }
--- a/relay/metric.go
+++ b/relay/metric.go
@@ -2,19 +2,75 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/request"
 )
 
 var (
-	retries     = metrics.NewCounter("rattanline_route_retries_total")
-	resumes     = metrics.NewCounter("rattanline_route_streams_resumed_total")
-	attemptTime = metrics.NewHistogram("rattanline_route_attempt_seconds")
-	requestTime = metrics.NewHistogram("rattanline_route_request_seconds")
+	requestTime = metrics.NewHistogram("rattanline_request_duration_seconds")
+	attemptTime = metrics.NewHistogram("rattanline_attempt_duration_seconds")
+	retries     = metrics.NewCounter("rattanline_retries_total")
 )
 
-func count(status int, total time.Duration) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("rattanline_route_requests_total{status=%q}", fmt.Sprint(status))).Inc()
-	requestTime.Update(total.Seconds())
+type outcomeLabels struct {
+	account, service string
+	outcome          request.Outcome
+	status           int
+}
+
+// counters avoids formatting the labels for each request.
+var counters sync.Map // of outcomeLabels to *metrics.Counter
+
+// counter counts requests by labels. Accounts and services come from the
+// configuration, so their number is bounded.
+func counter(l outcomeLabels) *metrics.Counter {
+	if c, ok := counters.Load(l); ok {
+		return c.(*metrics.Counter)
+	}
+	c := metrics.GetOrCreateCounter(fmt.Sprintf(
+		"rattanline_requests_total{account=%q,service=%q,outcome=%q,status=\"%d\"}", l.account, l.service, l.outcome, l.status,
+	))
+	counters.Store(l, c)
+	return c
+}
+
+// log counts the request and writes the one line that tells how it ended and
+// why.
+func (c *Call) log() {
+	outcome, ended := request.OutcomeOf(c.State)
+	if !ended {
+		c.path.Logger.Error().Str("request", c.ID).Str("state", fmt.Sprintf("%T", c.State)).Msg("request without end state")
+		outcome = request.OutcomeUnknown
+	}
+	took, status := time.Since(c.Arrived), c.Listener.Status()
+	requestTime.Update(took.Seconds())
+	counter(outcomeLabels{c.Account, c.Service, outcome, status}).Inc()
+	detail := string(outcome)
+	e := c.path.Logger.Info().Str("request", c.ID).Str("account", c.Account).Str("service", c.Service).
+		Str("target", c.Target.Name).Str("target-host", c.Target.Host).Str("target-failure-domain", c.Target.FailureDomain).
+		Str("outcome", string(outcome)).Int("status", status).Int("sends", c.Sends).Dur("took", took)
+	switch s := c.State.(type) {
+	case request.Refused:
+		detail += ": " + string(s.Refusal.Reason)
+		e.Str("reason", string(s.Refusal.Reason)).Str("cause", s.Refusal.Detail)
+	case request.Unknown:
+		e.Str("cause", s.Cause)
+	}
+	c.Record("request-finished", detail)
+	if !c.SentAt.IsZero() {
+		e.Dur("waited", c.SentAt.Sub(c.Arrived))
+	}
+	if c.Basis != (port.Basis{}) {
+		e.Dur("expected-wait", c.Basis.Wait).Float64("prompt", c.Basis.Prompt).Bool("cold", c.Basis.Cold)
+	}
+	if c.Basis.Pressure > 0 {
+		e.Float64("pressure", c.Basis.Pressure).Float64("served", c.Basis.Served).Float64("share", c.Basis.Share)
+	}
+	c.Listener.Describe(e)
+	e.Msg("request ended")
 }
--- a/request/problem.go
+++ b/request/problem.go
@@ -37,6 +37,8 @@
 	Forbidden:       http.StatusForbidden,
 	UnknownService:  http.StatusNotFound,
 	TooLarge:        http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:  http.StatusRequestHeaderFieldsTooLarge,
+	BodyTimeout:     http.StatusRequestTimeout,
 	Malformed:       http.StatusBadRequest,
 }
 
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -27,6 +27,9 @@
 	Malformed        Reason = "malformed"
 	CallerGone       Reason = "caller-gone"
 	RetryBudget      Reason = "retry-budget"
+	Overloaded       Reason = "overloaded"
+	HeaderTooLarge   Reason = "header-too-large"
+	BodyTimeout      Reason = "body-timeout"
 )
 
 // Refusal is the error of a request that was certainly not run.
