Add a fault soak with real processes

rattanline soak runs daemons as processes on loopback behind proxies, with stand-ins of the store and of targets, callers that keep their connections, and overlapping faults from a seed, and checks the promises from what callers and targets see. Not interposed: links between daemons, whose addresses are their listeners'.

--- a/cmd/rattanline/main.go
+++ b/cmd/rattanline/main.go
@@ -8,12 +8,13 @@
 	"rattanline.example/rattanline/command"
 	"rattanline.example/rattanline/demo"
 	"rattanline.example/rattanline/measure"
+	"rattanline.example/rattanline/soak"
 )
 
 func main() {
 	measurements := measure.Command()
 	measurements.AddCommand(capacity.Command())
 	root := command.Root(os.Stdout, os.Stderr)
-	root.AddCommand(demo.Command(), measurements)
+	root.AddCommand(demo.Command(), measurements, soak.Command())
 	os.Exit(command.Run(root, os.Args[1:]))
 }
