Keep shared prompts at two homes, and let a fetch cost what it takes elsewhere

Engines' memory is full of running requests then, so each copy of a part takes the place of another. A request left its home for an engine that was free 182 ms sooner, each daemon chose another such engine, and no daemon knew the copies of the others.

Now a fetch counts seven times its time instead of 1.6 times; what the first home has no time for goes to the second one by the same hash, where all daemons send theirs; any other engine must be 150 ms better.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -19,9 +19,17 @@
 	// fetchRate is the number of kept tokens that one engine gets from another in
 	// a second.
 	fetchRate = 90_000
-	// fetchPenalty makes a fetch cost more than its time, because it is priced and
-	// keeps the link of both engines busy.
-	fetchPenalty = 1.6
+	// fetchPenalty makes a fetch cost more than its time: it keeps the link of both
+	// engines busy, and the copy takes memory in which the engine keeps other parts,
+	// which it then reads again.
+	fetchPenalty = 7
+	// awayTime is what an engine that isn't a home of the prompt's shared parts must
+	// be better by, because others don't know of the copy there.
+	awayTime = 150 * time.Millisecond
+	// homeCount is the number of homes of a prompt's shared parts. The requests that
+	// the first one has no time for go to the second one, where all daemons send
+	// theirs too.
+	homeCount = 2
 	// requestTime is what each request in flight adds to the wait at an engine.
 	requestTime = 2 * time.Millisecond
 	// plainTime is the time of a request at a plain service.
@@ -74,8 +82,8 @@
 	if len(usable) == 0 {
 		return Choice{}, listed, false
 	}
-	usable, home := sample(usable, homeOf(q, usable))
-	kept := keptBy(q, usable, home, now)
+	usable, homes := sample(usable, homesOf(q, usable))
+	kept := keptBy(q, usable, homes, now)
 	var best Choice
 	var bestTarget *target
 	var bestCost time.Duration
@@ -87,6 +95,9 @@
 		c, fetch := t.weigh(g, q, now, others[g.Name], kept.at(i, usable))
 		c.Cold = cold
 		cost := c.Wait + t.penalty(g) + time.Duration(fetchPenalty*float64(fetch))
+		if len(homes) > 0 && !slices.Contains(homes, i) {
+			cost += awayTime
+		}
 		// Equal costs are frequent where nothing is in flight.
 		if bestTarget == nil || cost < bestCost || cost == bestCost && rand.IntN(2) == 0 {
 			best, bestTarget, bestCost = c, g, cost
@@ -142,43 +153,56 @@
 	return fresh, listed
 }
 
-// homeOf returns the index of the target that keeps the shared parts of the
-// prompt, negative if there is none: all daemons pick the same by hashing, so
-// that no message is needed.
-func homeOf(q Query, usable []*target) int {
+// homesOf returns the indexes of the targets that keep the shared parts of the
+// prompt, none if it has none: all daemons pick the same by hashing, so that no
+// message is needed.
+func homesOf(q Query, usable []*target) []int {
 	if !q.Engine || len(q.Demand.Parts) == 0 {
-		return -1
+		return nil
 	}
 	deepest := xxhash.Sum64String(q.Demand.Parts[max(len(q.Demand.Parts)-2, 0)].ID)
-	home := -1
-	var most uint64
+	var homes [homeCount]int
+	var ranks [homeCount]uint64
+	n := 0
 	for i, g := range usable {
-		if w := rank(deepest, g.hash); home < 0 || w > most {
-			home, most = i, w
+		at, w := n, rank(deepest, g.hash)
+		for at > 0 && w > ranks[at-1] {
+			at--
+		}
+		if at == homeCount {
+			continue
 		}
+		n = min(n+1, homeCount)
+		copy(homes[at+1:n], homes[at:n])
+		copy(ranks[at+1:n], ranks[at:n])
+		homes[at], ranks[at] = i, w
 	}
-	return home
+	return homes[:n]
 }
 
 // maxWeighed bounds the targets that are compared for one request.
 const maxWeighed = 48
 
-// sample returns at most maxWeighed of the targets, the home among them, and the
-// index of the home. It changes the order of the targets.
-func sample(usable []*target, home int) ([]*target, int) {
+// sample returns at most maxWeighed of the targets, the homes among them, and the
+// indexes of the homes. It changes the order of the targets.
+func sample(usable []*target, homes []int) ([]*target, []int) {
 	if len(usable) <= maxWeighed {
-		return usable, home
+		return usable, homes
 	}
-	first := 0
-	if home >= 0 {
-		usable[0], usable[home] = usable[home], usable[0]
-		first, home = 1, 0
+	for to, from := range homes {
+		usable[to], usable[from] = usable[from], usable[to]
+		for later := to + 1; later < len(homes); later++ {
+			if homes[later] == to { // it was moved
+				homes[later] = from
+			}
+		}
+		homes[to] = to
 	}
-	for i := first; i < maxWeighed; i++ {
+	for i := len(homes); i < maxWeighed; i++ {
 		j := i + rand.IntN(len(usable)-i)
 		usable[i], usable[j] = usable[j], usable[i]
 	}
-	return usable[:maxWeighed], home
+	return usable[:maxWeighed], homes
 }
 
 // rank mixes two hashes (the finalizer of splitmix64).
@@ -207,8 +231,8 @@
 }
 
 // keptBy returns what the targets are taken to keep of the prompt: what this
-// daemon sent there, and all shared parts at their home.
-func keptBy(q Query, usable []*target, home int, now clock.Instant) keepers {
+// daemon sent there, and all shared parts at their first home.
+func keptBy(q Query, usable []*target, homes []int, now clock.Instant) keepers {
 	k := keepers{first: -1, second: -1}
 	if !q.Engine {
 		return k
@@ -218,8 +242,8 @@
 		k.known[i] = g.parts.kept(now, q.Demand.Parts)
 		k.tokens[i] = k.known[i]
 	}
-	if home >= 0 {
-		k.tokens[home] = max(k.tokens[home], shared(q.Demand.Parts))
+	if len(homes) > 0 {
+		k.tokens[homes[0]] = max(k.tokens[homes[0]], shared(q.Demand.Parts))
 	}
 	for i, tokens := range k.tokens {
 		switch {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -247,3 +249,54 @@
 		table.Choose(q)
 	}
 }
+
+// Guards against homes that daemons don't agree on, and homes that are not among
+// the targets that are weighed.
+func TestHomes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable("d", []string{"d"}, rapid.IntRange(1, 200).Draw(t, "targets"))
+		q := Query{Service: "engine", Engine: true, Demand: prompt(
+			request.Part{ID: rapid.StringMatching("[a-f0-9]{4}").Draw(t, "part"), Tokens: 100}, request.Part{ID: "own", Tokens: 10},
+		)}
+		names := func() []string {
+			usable := slices.Clone(table.services["engine"])
+			rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+			usable, homes := sample(usable, homesOf(q, usable))
+			var list []string
+			for _, h := range homes {
+				list = append(list, usable[h].Name)
+			}
+			return list
+		}
+		first := names()
+		if len(first) != min(homeCount, len(table.services["engine"])) {
+			t.Fatalf("homes %v", first)
+		}
+		for range 5 {
+			if again := names(); !slices.Equal(again, first) {
+				t.Fatalf("homes %v, then %v", first, again)
+			}
+		}
+	})
+}
+
+// Guards against requests of one shared prompt that are spread over all engines
+// when their home has no time, so that each engine reads the prompt.
+func TestSharedPromptStaysTogether(t *testing.T) {
+	used := map[string]int{}
+	for d := range 8 {
+		table := newTable(fmt.Sprint("d", d), []string{"d"}, 40)
+		for i := range 4 {
+			c, _, ok := table.Choose(Query{Service: "engine", Engine: true, Demand: prompt(
+				request.Part{ID: "shared", Tokens: 6000}, request.Part{ID: fmt.Sprint("own-", d, i), Tokens: 2000},
+			)})
+			qt.Assert(t, ok, qt.IsTrue)
+			used[c.Target.Name]++
+			table.Started(c.Target.Name, c.Prompt, prompt(request.Part{ID: "shared", Tokens: 6000}).Parts)
+			if used[c.Target.Name] == 1 { // a home that is busy for all daemons
+				table.Work = func() map[string]Work { return map[string]Work{c.Target.Name: {Requests: 20, Prompt: 40_000}} }
+			}
+		}
+	}
+	qt.Assert(t, len(used) <= homeCount, qt.IsTrue, qt.Commentf("%v", used))
+}
