Let requests wait briefly for a target, and leave out faulty and slow ones

A request for which no target could be used (all at their bound of connections, or cold and not this daemon's turn) was refused at once though one came free a moment later. It now waits in the fair queue that the present interface uses, for at most a quarter of its latency aim; the account that is served least goes first.

A target that fails, breaks off or is slow while it lists itself as ready went on getting its part of the requests. Each target now has the part of its last attempts that were faults, forgotten with 3 s; it makes the target costlier, so that it is left out under low load, gets less under high load, and is tried again.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -115,6 +115,18 @@
 	return answer
 }
 
+// Served returns the work per second that the account gets from all daemons.
+func (c *Control) Served(now clock.Instant, name string) float64 {
+	others := c.Others()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	served := others[name].Served
+	if a := c.accounts[name]; a != nil {
+		served += a.served.now(now)
+	}
+	return served
+}
+
 // Withdraw takes back an admitted request that no target ran.
 func (c *Control) Withdraw(now clock.Instant, name string, work float64) {
 	c.mu.Lock()
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -70,17 +70,17 @@
 	Cold bool
 }
 
-// Choose returns the target with the shortest expected wait. It returns false if
-// no target can be used, with the number of those that are listed at all.
-func (t *Table) Choose(q Query) (Choice, int, bool) {
+// Choose returns the target with the shortest expected wait, false if no target
+// can be used.
+func (t *Table) Choose(q Query) (Choice, bool) {
 	now := clock.Now()
 	others := t.Work()
 	daemons := t.Daemons()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	usable, listed := t.usable(q, now, t.connectionPart(q.Service, len(daemons)))
+	usable := t.usable(q, now, t.connectionPart(q.Service, len(daemons)))
 	if len(usable) == 0 {
-		return Choice{}, listed, false
+		return Choice{}, false
 	}
 	usable, homes := sample(usable, homesOf(q, usable))
 	kept := keptBy(q, usable, homes, now)
@@ -94,7 +94,7 @@
 		}
 		c, fetch := t.weigh(g, q, now, others[g.Name], kept.at(i, usable))
 		c.Cold = cold
-		cost := c.Wait + t.penalty(g) + time.Duration(fetchPenalty*float64(fetch))
+		cost := c.Wait + t.penalty(g) + g.faults.cost(now, c.Wait, q.Engine) + time.Duration(fetchPenalty*float64(fetch))
 		if len(homes) > 0 && !slices.Contains(homes, i) {
 			cost += awayTime
 		}
@@ -104,12 +104,12 @@
 		}
 	}
 	if bestTarget == nil {
-		return Choice{}, listed, false
+		return Choice{}, false
 	}
 	if best.Cold {
 		bestTarget.next = now.Add(t.coldSpacing(bestTarget, daemons))
 	}
-	return best, listed, true
+	return best, true
 }
 
 // connectionPart returns how many requests this daemon may have in flight at a
@@ -127,20 +127,12 @@
 
 // usable returns the targets of the service to which requests may be sent. Those
 // that the request was sent to before are among them only if there is no other.
-func (t *Table) usable(q Query, now clock.Instant, connections int) ([]*target, int) {
+func (t *Table) usable(q Query, now clock.Instant, connections int) []*target {
 	fresh, tried := t.fresh[:0], t.tried[:0]
 	defer func() { t.fresh, t.tried = fresh, tried }() // keeps what has grown
-	listed := 0
 	for _, g := range t.services[q.Service] {
-		if !g.known || g.Leaving || t.domains[g.Domain].evacuated {
-			continue
-		}
-		if g.Removed != 0 && now.Sub(g.Removed) > removedTime {
-			continue
-		}
-		listed++
 		switch {
-		case now < g.down, g.work.Requests >= connections:
+		case !t.listed(g, now), now < g.down, g.work.Requests >= connections:
 		case slices.Contains(q.Avoid, g.Name):
 			tried = append(tried, g)
 		default:
@@ -148,9 +140,28 @@
 		}
 	}
 	if len(fresh) == 0 {
-		return tried, listed
+		return tried
+	}
+	return fresh
+}
+
+// listed tells that a target may get requests, as far as the key-value service
+// says.
+func (t *Table) listed(g *target, now clock.Instant) bool {
+	return g.known && !g.Leaving && !t.domains[g.Domain].evacuated && (g.Removed == 0 || now.Sub(g.Removed) <= removedTime)
+}
+
+// Listed returns the number of targets of a service that may get requests.
+func (t *Table) Listed(service string) int {
+	now, n := clock.Now(), 0
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.services[service] {
+		if t.listed(g, now) {
+			n++
+		}
 	}
-	return fresh, listed
+	return n
 }
 
 // homesOf returns the indexes of the targets that keep the shared parts of the
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -110,12 +110,12 @@
 	cold := func(change func(*Table)) bool {
 		table := newTable("d0", []string{"d0"}, 1)
 		change(table)
-		c, _, ok := table.Choose(Query{Service: "engine", Engine: true, Demand: prompt(request.Part{ID: "a", Tokens: 10})})
+		c, ok := table.Choose(Query{Service: "engine", Engine: true, Demand: prompt(request.Part{ID: "a", Tokens: 10})})
 		return !ok || c.Cold
 	}
 	qt.Check(t, cold(func(*Table) {}), qt.IsFalse)
 	qt.Check(t, cold(func(t *Table) { t.Update(viewOf(1, func(e *mirror.Target) { e.Cold = time.Second })) }), qt.IsTrue)
-	qt.Check(t, cold(func(t *Table) { t.Ended("t0", port.Unreachable) }), qt.IsTrue)
+	qt.Check(t, cold(func(t *Table) { t.Ended("t0", port.Attempt{Result: port.Unreachable}, 0) }), qt.IsTrue)
 	qt.Check(t, cold(func(t *Table) {
 		v := viewOf(1, nil)
 		v.Restored["a"] = clock.Now()
@@ -141,7 +141,7 @@
 		t.Run(name, func(t *testing.T) {
 			table := newTable("d0", []string{"d0"}, 0)
 			table.Update(viewOf(1, c.change))
-			_, _, ok := table.Choose(Query{Service: "engine", Engine: true})
+			_, ok := table.Choose(Query{Service: "engine", Engine: true})
 			qt.Assert(t, ok, qt.Equals, c.usable)
 		})
 	}
@@ -150,16 +150,16 @@
 		v := viewOf(1, nil)
 		v.Evacuated["a"] = true
 		table.Update(v)
-		_, _, ok := table.Choose(Query{Service: "engine", Engine: true})
+		_, ok := table.Choose(Query{Service: "engine", Engine: true})
 		qt.Assert(t, ok, qt.IsFalse)
 	})
 	t.Run("avoided only if there is another", func(t *testing.T) {
 		table := newTable("d0", []string{"d0"}, 2)
 		for range 20 {
-			c, _, _ := table.Choose(Query{Service: "engine", Engine: true, Avoid: []string{"t0"}})
+			c, _ := table.Choose(Query{Service: "engine", Engine: true, Avoid: []string{"t0"}})
 			qt.Assert(t, c.Target.Name, qt.Equals, "t1")
 		}
-		_, _, ok := table.Choose(Query{Service: "engine", Engine: true, Avoid: []string{"t0", "t1"}})
+		_, ok := table.Choose(Query{Service: "engine", Engine: true, Avoid: []string{"t0", "t1"}})
 		qt.Assert(t, ok, qt.IsTrue)
 	})
 }
@@ -170,13 +170,13 @@
 	demand := prompt(request.Part{ID: "root", Tokens: 2500}, request.Part{ID: "subject", Tokens: 3800}, request.Part{ID: "own", Tokens: 2900})
 	one, two := newTable("d0", []string{"d0", "d1"}, 12), newTable("d1", []string{"d0", "d1"}, 12)
 	q := Query{Service: "engine", Engine: true, Demand: demand}
-	first, _, _ := one.Choose(q)
-	second, _, _ := two.Choose(q)
+	first, _ := one.Choose(q)
+	second, _ := two.Choose(q)
 	qt.Assert(t, second.Target.Name, qt.Equals, first.Target.Name)
 	qt.Assert(t, first.Prompt, qt.Equals, 2900.0)
 
 	one.Started(first.Target.Name, 100_000, demand.Parts) // the home is busy
-	other, _, _ := one.Choose(q)
+	other, _ := one.Choose(q)
 	qt.Assert(t, other.Target.Name, qt.Not(qt.Equals), first.Target.Name)
 	qt.Assert(t, other.Source, qt.Equals, first.Target.Address)
 }
@@ -185,7 +185,7 @@
 func TestOthersWork(t *testing.T) {
 	table := newTable("d0", []string{"d0"}, 2)
 	table.Work = func() map[string]Work { return map[string]Work{"t0": {Requests: 10, Prompt: 50_000}} }
-	c, _, _ := table.Choose(Query{Service: "engine", Engine: true, Demand: prompt(request.Part{ID: "a", Tokens: 10})})
+	c, _ := table.Choose(Query{Service: "engine", Engine: true, Demand: prompt(request.Part{ID: "a", Tokens: 10})})
 	qt.Assert(t, c.Target.Name, qt.Equals, "t1")
 }
 
@@ -196,14 +196,14 @@
 	table.MaxConnections = func(string) int { return 10 }
 	q := Query{Service: "engine"}
 	for range 6 {
-		c, _, ok := table.Choose(q)
+		c, ok := table.Choose(q)
 		qt.Assert(t, ok, qt.IsTrue)
 		table.Started(c.Target.Name, 0, nil)
 	}
 	qt.Assert(t, table.InFlight(), qt.DeepEquals, map[string]Work{"t0": {Requests: 3}, "t1": {Requests: 3}})
-	_, listed, ok := table.Choose(q)
+	_, ok := table.Choose(q)
 	qt.Assert(t, ok, qt.IsFalse)
-	qt.Assert(t, listed, qt.Equals, 2)
+	qt.Assert(t, table.Listed("engine"), qt.Equals, 2)
 }
 
 // Guards against work that stays counted after its request has ended.
@@ -287,7 +287,7 @@
 	for d := range 8 {
 		table := newTable(fmt.Sprint("d", d), []string{"d"}, 40)
 		for i := range 4 {
-			c, _, ok := table.Choose(Query{Service: "engine", Engine: true, Demand: prompt(
+			c, ok := table.Choose(Query{Service: "engine", Engine: true, Demand: prompt(
 				request.Part{ID: "shared", Tokens: 6000}, request.Part{ID: fmt.Sprint("own-", d, i), Tokens: 2000},
 			)})
 			qt.Assert(t, ok, qt.IsTrue)
@@ -300,3 +300,54 @@
 	}
 	qt.Assert(t, len(used) <= homeCount, qt.IsTrue, qt.Commentf("%v", used))
 }
+
+// Guards against targets that fail or are slow while they list themselves as
+// ready and go on getting their part of the requests, against those that are
+// never tried again, and against one fault that takes all load off a target.
+func TestFaultyTargets(t *testing.T) {
+	for name, a := range map[string]port.Attempt{
+		"error":  {Result: port.Failed, FirstByte: time.Millisecond},
+		"slow":   {Result: port.Succeeded, FirstByte: 2 * time.Second},
+		"silent": {Result: port.Canceled, Total: 2 * time.Second},
+		"broken": {Result: port.Crashed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable("d0", []string{"d0"}, 3)
+			q := Query{Service: "engine"}
+			sent := 0
+			for range 300 {
+				c, ok := table.Choose(q)
+				qt.Assert(t, ok, qt.IsTrue)
+				table.Started(c.Target.Name, 0, nil)
+				ended := port.Attempt{Result: port.Succeeded, FirstByte: time.Millisecond}
+				if c.Target.Name == "t0" {
+					sent++
+					ended = a
+				}
+				table.Ended(c.Target.Name, ended, c.Wait)
+			}
+			qt.Check(t, sent <= 5, qt.IsTrue, qt.Commentf("%d requests to the faulty target", sent))
+			table.mu.Lock()
+			g := table.targets["t0"]
+			g.faults.at = g.faults.at.Add(-10 * faultMemory)
+			g.down = 0
+			table.mu.Unlock()
+			again := 0
+			for range 60 {
+				if c, _ := table.Choose(q); c.Target.Name == "t0" {
+					again++
+				}
+			}
+			qt.Check(t, again > 5, qt.IsTrue, qt.Commentf("tried again %d times", again))
+		})
+	}
+	t.Run("one fault", func(t *testing.T) {
+		table := newTable("d0", []string{"d0"}, 2)
+		table.Ended("t0", port.Attempt{Result: port.Failed}, 0)
+		for range 64 { // held, as under load
+			c, _ := table.Choose(Query{Service: "engine"})
+			table.Started(c.Target.Name, 0, nil)
+		}
+		qt.Check(t, table.InFlight()["t0"].Requests >= 8, qt.IsTrue, qt.Commentf("%v", table.InFlight()))
+	})
+}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rattanline.example/rattanline/admission"
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
@@ -17,24 +19,41 @@
 
 // Scheduler implements port.Scheduler for targets that queue requests
 // themselves: it assigns or refuses at once, by what this daemon and the others
-// have in flight. The exported fields are set before the first call.
+// have in flight. Only while no target can be used do requests wait, briefly. The
+// exported fields are set before the first call.
 type Scheduler struct {
 	Table     *Table
 	Admission *admission.Control
 	// Engine tells that the targets of a service read prompts.
 	Engine func(service string) bool
+
+	queue queue
 }
 
 var _ port.Scheduler = (*Scheduler)(nil)
 
 // Acquire implements port.Scheduler.
-func (s *Scheduler) Acquire(_ context.Context, job port.Job) (port.Assignment, error) {
+func (s *Scheduler) Acquire(ctx context.Context, job port.Job) (port.Assignment, error) {
+	a, err := s.assign(job)
+	if !errors.Is(err, errNoTarget) {
+		return a, err
+	}
+	listed := s.Table.Listed(job.Service)
+	refusal := &request.Refusal{
+		Reason: request.NoTarget, Detail: fmt.Sprintf("no target can be used, %d are listed", listed), RetryAfter: noTargetRetry,
+	}
+	if listed == 0 {
+		return nil, refusal
+	}
+	return s.wait(ctx, job, refusal)
+}
+
+// assign chooses a target at once. Its error is errNoTarget or a refusal.
+func (s *Scheduler) assign(job port.Job) (port.Assignment, error) {
 	query := Query{Service: job.Service, Engine: s.Engine(job.Service), Demand: job.Demand, Avoid: job.Avoid}
-	choice, listed, ok := s.Table.Choose(query)
+	choice, ok := s.Table.Choose(query)
 	if !ok {
-		return nil, &request.Refusal{
-			Reason: request.NoTarget, Detail: fmt.Sprintf("no target can be used, %d are listed", listed), RetryAfter: noTargetRetry,
-		}
+		return nil, errNoTarget
 	}
 	a := &assignment{scheduler: s, job: job, choice: choice, basis: port.Basis{
 		Wait: choice.Wait, Prompt: choice.Prompt, Source: choice.Source, Cold: choice.Cold,
@@ -98,7 +117,7 @@
 // Finish implements port.Assignment.
 func (a *assignment) Finish(t port.Attempt) {
 	a.Began()
-	a.scheduler.Table.Ended(a.choice.Target.Name, t.Result)
+	a.scheduler.Table.Ended(a.choice.Target.Name, t, a.choice.Wait)
 	switch t.Result {
 	case port.NotSent, port.Overloaded, port.Unreachable, port.Misdirected:
 		if a.admitted {
--- a/placement/table.go
+++ b/placement/table.go
@@ -71,6 +71,7 @@
 	// failures counts the failures in a row that led there.
 	down     clock.Instant
 	failures int
+	faults   faults
 	// cold is until when it is cold, next when this daemon may send to it again
 	// meanwhile.
 	cold, next clock.Instant
@@ -159,8 +160,9 @@
 	brokenCount = 4
 )
 
-// Ended takes a request out of those in flight.
-func (t *Table) Ended(name string, result port.AttemptResult) {
+// Ended takes a request out of those in flight. Wait is how long its target was
+// expected to take until it began to answer.
+func (t *Table) Ended(name string, a port.Attempt, wait time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.targets[name]
@@ -171,13 +173,14 @@
 	if g.work.Requests == 0 {
 		g.work.Prompt = 0
 	}
-	t.observe(g, result, clock.Now())
+	t.observe(g, a, wait, clock.Now())
 }
 
-func (t *Table) observe(g *target, result port.AttemptResult, now clock.Instant) {
-	switch result {
+func (t *Table) observe(g *target, a port.Attempt, wait time.Duration, now clock.Instant) {
+	switch a.Result {
 	case port.Succeeded, port.Failed:
 		g.failures = 0
+		g.faults.add(now, a.Result == port.Failed || slow(a.FirstByte, wait))
 	case port.Unreachable:
 		g.failures++
 		pause := min(downTime<<min(g.failures-1, 4), maxDownTime)
@@ -191,10 +194,15 @@
 		g.down = max(g.down, now.Add(maxDownTime))
 	case port.Crashed:
 		g.failures++
+		g.faults.add(now, true)
 		if g.failures >= brokenCount {
 			g.down = max(g.down, now.Add(brokenTime))
 		}
-	case port.Overloaded, port.Canceled, port.NotSent:
+	case port.Canceled:
+		if a.FirstByte == 0 && slow(a.Total, wait) {
+			g.faults.add(now, true)
+		}
+	case port.Overloaded, port.NotSent:
 	}
 }
 
