Read the store at three hubs, and at others when these don't reach it

Two daemons read the store for the fleet; where it turned both away, others began only when the proof of freshness was 2.2 s old, and a call without a reply ended after 2.2 s.

Three hubs read now. Each daemon says whether it reaches the store, and the next hubs read as soon as one of the three says that it doesn't.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -109,7 +109,7 @@
 	}
 	d.exchange = &exchange.Exchange{
 		Self: d.self, Link: &link.Client{}, Mirror: d.mirror, Marks: d.poison, Seeds: s.Seeds,
-		Status: func() (bool, bool) { return d.ready(), d.leaving.Load() }, Report: d.report, Reading: d.reading, Logger: d.Logger,
+		Status: func() (bool, bool) { return d.ready(), d.leaving.Load() }, Report: d.report, Reading: d.reading, Connected: d.mirror.Connected, Logger: d.Logger,
 	}
 	d.pool = &upstream.Pool{Opened: connections.Inc}
 	metrics.GetOrCreateGauge("rattanline_target_connections_open", func() float64 { return float64(d.pool.Open()) })
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -42,7 +42,9 @@
 	// Reading tells whether this daemon polls the key-value service; the others
 	// ask their hubs in each round.
 	Reading func() bool
-	Logger  zerolog.Logger
+	// Connected tells whether the last call of the key-value service succeeded.
+	Connected func() bool
+	Logger    zerolog.Logger
 
 	now   func() clock.Instant // replaced in tests
 	mu    sync.Mutex
@@ -149,7 +151,7 @@
 
 // self returns the status of this daemon.
 func (x *Exchange) self() Status {
-	s := Status{Member: x.Self}
+	s := Status{Member: x.Self, Connected: x.Connected()}
 	s.Ready, s.Leaving = x.Status()
 	return s
 }
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -17,7 +17,7 @@
 	// hubsPerDomain is how many hubs a failure domain has in a large fleet.
 	hubsPerDomain = 2
 	// readers is how many hubs of the whole fleet poll the key-value service.
-	readers = 2
+	readers = 3
 )
 
 // large tells that only some daemons are hubs.
@@ -78,7 +78,8 @@
 }
 
 // Reader tells whether this daemon polls the key-value service: in small fleets
-// all do, in others the best hubs of two failure domains.
+// all do, in others the best hubs that reach it, each of another failure domain as
+// far as possible. A better hub that doesn't reach it goes on trying.
 func (x *Exchange) Reader() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -86,19 +87,27 @@
 		return true
 	}
 	now := x.now()
-	var best []Status
+	var first, rest []Status
 	for _, d := range x.domains() {
 		if hubs := x.hubs(d, now); len(hubs) > 0 {
-			best = append(best, hubs[0])
+			first, rest = append(first, hubs[0]), append(rest, hubs[1:]...)
 		}
 	}
-	slices.SortFunc(best, rank)
-	for _, s := range best[:min(len(best), readers)] {
+	slices.SortFunc(first, rank)
+	slices.SortFunc(rest, rank)
+	connected := 0
+	for _, s := range append(first, rest...) {
 		if s.Name == x.Self.Name {
 			return true
 		}
+		if s.Connected {
+			connected++
+		}
+		if connected == readers {
+			return false
+		}
 	}
-	return len(best) == 0
+	return len(first) == 0
 }
 
 // addresses returns the daemons to call in this round: names by link address,
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -20,6 +20,8 @@
 	mirror.Member
 	// Ready daemons take callers; leaving ones finish what they have.
 	Ready, Leaving bool
+	// Connected tells that the daemon reaches the key-value service.
+	Connected bool
 }
 
 // Message is what one daemon tells another, in a call and in its reply.
--- a/exchange/roster.go
+++ b/exchange/roster.go
@@ -113,6 +113,9 @@
 		if s.Leaving {
 			flags |= 2
 		}
+		if s.Connected {
+			flags |= 4
+		}
 		_, _ = d.Write(append(binary.BigEndian.AppendUint64(nil, math.Float64bits(s.Cores)), flags))
 	}
 	return d.Sum64()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -20,6 +20,9 @@
 	pollWait = time.Second
 	// standbyDelay is how often a daemon that doesn't poll asks whether it should.
 	standbyDelay = 100 * time.Millisecond
+	// batchDelay is the pause after a poll that brought changes, so that several of
+	// them come with one call.
+	batchDelay = 60 * time.Millisecond
 	// retryDelay is the pause after a failed call.
 	retryDelay = 250 * time.Millisecond
 )
@@ -59,6 +62,9 @@
 	return now.Sub(clock.Instant(m.proven.Load()))
 }
 
+// Connected tells that the last call of the service succeeded.
+func (m *Mirror) Connected() bool { return m.connected.Load() }
+
 // Run copies until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	after := int64(-1)
@@ -78,6 +84,12 @@
 			if !m.connected.Swap(true) {
 				m.Logger.Info().Str("dependency", "key-value").Int64("revision", next).Msg("dependency regained")
 			}
+			if after >= 0 && next > after {
+				select {
+				case <-ctx.Done():
+				case <-time.After(batchDelay):
+				}
+			}
 			after = next
 			continue
 		}
--- a/placement/fault.go
+++ b/placement/fault.go
@@ -12,7 +12,7 @@
 	faultWeight = 0.2
 	// faultMemory is the time constant with which faults are forgotten, so that a
 	// target is tried again.
-	faultMemory = 3 * time.Second
+	faultMemory = 2 * time.Second
 	// minFaults is the part below which faults don't count: else a target would stay
 	// behind idle ones for ever.
 	minFaults = 0.02
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -14,8 +14,8 @@
 	// much later where the store or the daemon was disturbed.
 	applyTime   = 2 * time.Second
 	stretchTime = 5 * time.Second
-	drainTime  = 2 * time.Second
-	contact    = 3 * time.Second
+	drainTime   = 2 * time.Second
+	contact     = 3 * time.Second
 	// reachTime is allowed for a request on its way from a daemon to a target.
 	reachTime = 300 * time.Millisecond
 	// deadTime is how long the directory may name a daemon that is gone.
