--- a/measure/command.go
+++ b/measure/command.go
@@ -12,10 +12,25 @@
 	"github.com/spf13/cobra"
 )
 
-// Command returns "measure" with the subcommand "fairness".
+// Command returns "measure" with its subcommands.
 func Command() *cobra.Command {
 	c := &cobra.Command{Use: "measure", Short: "Measure fairness and the cost of control on fleets inside this process"}
-	c.AddCommand(fairnessCommand())
+	c.AddCommand(fairnessCommand(), localCommand())
+	return c
+}
+
+func localCommand() *cobra.Command {
+	f := &fairness{}
+	c := &cobra.Command{
+		Use:   "local",
+		Short: "Simulate daemons that start requests without asking the owners of targets",
+		Long: "Simulates the deployments of the design page with two rules that need no owners of targets, and prints\n" +
+			"what becomes of the limits, the use of the slots and the gap between accounts.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return printTable(c.OutOrStdout(), f, f.local()) },
+	}
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "seed of the costs")
+	c.Flags().DurationVar(&f.duration, "duration", 15*time.Second, "the time T")
 	return c
 }
 
