Bound heads by the configuration's time, and order waiting requests by priority

The time for the head of a request came from a constant; the configuration's time is used now, also after a change, and a running request is not cut by it (TestHeaderTime fails before). The priority of a route or account, which nothing read, puts requests that wait for a target before others. The aim for pauses between events, which nothing reads, is no longer decoded.

--- a/config/route.go
+++ b/config/route.go
@@ -23,10 +23,9 @@
 	// LatencyAim is the time to the response, or to the first event of a stream,
 	// within which it earns its full worth.
 	LatencyAim Duration `yaml:"latency-aim,omitempty" json:"latency-aim,omitempty"`
-	// PauseAim is the longest pause between events of a stream that is on time.
-	PauseAim    Duration `yaml:"pause-aim,omitempty" json:"pause-aim,omitempty"`
-	Priority    int      `yaml:"priority,omitempty" json:"priority,omitempty"`
-	MaxAttempts int      `yaml:"max-attempts" json:"max-attempts"`
+	// Priority orders what waits for a target; zero goes first.
+	Priority    int `yaml:"priority,omitempty" json:"priority,omitempty"`
+	MaxAttempts int `yaml:"max-attempts" json:"max-attempts"`
 	// Public routes need no key.
 	Public bool `yaml:"public,omitempty" json:"public,omitempty"`
 	// Prompts tells that requests name the parts of their prompt.
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -7,13 +7,15 @@
 	"sync"
 	"time"
 
+	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/socket"
 )
 
-// callers closes connections of callers that stay unused. The time comes from
-// the configuration, which changes while the server runs.
+// callers closes connections of callers that stay unused, or on which the head of
+// a request takes too long. The times come from the configuration, which changes
+// while the server runs.
 type callers struct {
-	idle func() time.Duration
+	idle, header func() time.Duration
 
 	mu     sync.Mutex
 	timers map[net.Conn]*time.Timer
@@ -29,15 +31,38 @@
 		t.Stop()
 		delete(c.timers, conn)
 	}
-	if state == http.StateIdle {
+	switch state {
+	case http.StateNew, http.StateActive:
+		c.timers[conn] = time.AfterFunc(c.header(), func() { c.expire(conn) })
+	case http.StateIdle:
 		c.timers[conn] = time.AfterFunc(c.idle(), func() { c.expire(conn) })
+	case http.StateHijacked, http.StateClosed:
+	}
+}
+
+// headed lets a handler serve requests, whose heads have arrived.
+func (c *callers) headed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+			c.stop(conn)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *callers) stop(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.timers[conn]; t != nil {
+		t.Stop()
+		delete(c.timers, conn)
 	}
 }
 
 func (c *callers) expire(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, idle := c.timers[conn]; !idle {
+	if _, waits := c.timers[conn]; !waits {
 		return
 	}
 	delete(c.timers, conn)
@@ -61,14 +86,31 @@
 	return ok && socket.StateOf(conn) == socket.Closed
 }
 
-// defaultIdle is kept while the configuration sets no time.
-const defaultIdle = 60 * time.Second
+// The times that hold while the configuration sets none. The header time also
+// bounds that of the configuration.
+const (
+	defaultIdle   = 60 * time.Second
+	maxHeaderTime = 10 * time.Second
+)
 
 func (d *Daemon) idleTime() time.Duration {
+	return callerTime(d.limits().IdleTimeout, defaultIdle)
+}
+
+func (d *Daemon) headerTime() time.Duration {
+	return callerTime(d.limits().HeaderTimeout, maxHeaderTime)
+}
+
+func (d *Daemon) limits() config.Limits {
 	if x := d.mirror.View().Index; x != nil {
-		if idle := x.Document().Limits.IdleTimeout.Std(); idle > 0 {
-			return idle
-		}
+		return x.Document().Limits
+	}
+	return config.Limits{}
+}
+
+func callerTime(set config.Duration, fallback time.Duration) time.Duration {
+	if set > 0 {
+		return set.Std()
 	}
-	return defaultIdle
+	return fallback
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -43,8 +43,6 @@
 	trimInterval = 500 * time.Millisecond
 	// maxHeader bounds heads before the configuration's own bound is looked at.
 	maxHeader = 64 << 10
-	// maxHeaderTime bounds the time in which a head arrives.
-	maxHeaderTime = 10 * time.Second
 	// bufferedPart is the part of the memory that bodies may fill.
 	bufferedPart = 4
 )
@@ -113,6 +111,7 @@
 	}
 	d.pool = &upstream.Pool{Opened: connections.Inc}
 	metrics.GetOrCreateGauge("rattanline_target_connections_open", func() float64 { return float64(d.pool.Open()) })
+	d.callers = &callers{idle: d.idleTime, header: d.headerTime}
 	path := &relay.Path{
 		Scheduler:  &placement.Scheduler{Table: d.table, Admission: d.admission, Engine: d.engine},
 		Quarantine: d.poison, Crashed: relay.Refuses, Marked: d.exchange.Announce,
@@ -124,7 +123,6 @@
 		KeyAge: max(s.RevokeTime-keyMargin, 0), Leaving: d.leaving.Load, Overloaded: d.overload.refusing, Left: d.callers.left,
 		MaxBuffered: int64(s.MemoryMB) << 20 / bufferedPart,
 	}
-	d.callers = &callers{idle: d.idleTime}
 	d.links = &link.Server{Address: s.LinkAddress, Logger: d.Logger}
 	return d.links.Register(exchange.Service, d.exchange.Receiver())
 }
@@ -187,7 +185,7 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"frontend", s.FrontendAddress, d.handler},
+		{"frontend", s.FrontendAddress, d.callers.headed(d.handler)},
 		{"ready", s.ReadyAddress, platform.ReadyHandler(d.ready)},
 		{"directory", s.DirectoryAddress, platform.ResolveHandler(d.resolve)},
 		{"metrics", d.MetricsAddress, metricsHandler()},
--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -3,13 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"rattanline.example/rattanline/platform"
 	"rattanline.example/rattanline/setting"
@@ -288,3 +292,27 @@
 		t.Fatal("still running")
 	}
 }
+
+// Guards against callers that hold connections with heads that never end, and
+// against connections that are closed while their request runs.
+func TestHeaderTime(t *testing.T) {
+	r := newRig(t)
+	slow := r.serve("desk", "i-desk", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(1800 * time.Millisecond) // longer than the head may take
+		_, _ = io.WriteString(w, "late")
+	})
+	r.configure(plainRoute("/read/", "idempotent"))
+	d := r.start()
+	r.awaitReady(slow)
+	conn, err := net.Dial("tcp", d.Settings.FrontendAddress)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /read/ HTTP/1.1\r\nHost: ")
+	qt.Assert(t, err, qt.IsNil)
+	began := time.Now()
+	_ = conn.SetReadDeadline(began.Add(4 * time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("the connection is open after %s", time.Since(began)))
+	qt.Assert(t, time.Since(began) > time.Second, qt.IsTrue)
+	assertStatus(t, ask(t, d, "GET", "/read/", ""), 200)
+}
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -153,7 +153,7 @@
 			},
 		},
 		"tenants": []any{map[string]any{"name": "shop", "api_keys": keys}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 5000, "tokens_per_s": 230000},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 1500, "idle_timeout_ms": 5000, "tokens_per_s": 230000},
 	})
 	qt.Assert(r.t, err, qt.IsNil)
 	r.store.Put("op/config", string(data))
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -30,7 +30,7 @@
 	index             *config.Index
 	age               time.Duration
 	routed            config.Route
-	keyed             bool
+	keyed, urgent     bool
 	method, uri, host string
 	header            http.Header
 	body              []byte
@@ -44,7 +44,7 @@
 // Job implements relay.Listener.
 func (c *call) Job() port.Job {
 	return port.Job{
-		RequestID: c.ID, Account: c.Account, Service: c.Service, Urgent: true, Deadline: c.Deadline,
+		RequestID: c.ID, Account: c.Account, Service: c.Service, Urgent: c.urgent, Deadline: c.Deadline,
 		Cost: c.demand.Work(), Bytes: int64(len(c.body)), Fingerprint: c.Fingerprint,
 		LatencyAim: c.routed.LatencyAim.Std(), Demand: c.demand,
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -137,7 +137,7 @@
 		timeout = min(timeout, c.demand.Wait)
 	}
 	c.Deadline = c.Arrived.Add(timeout)
-	c.Service = route.Service(rand.Float64())
+	c.Service, c.urgent = route.Service(rand.Float64()), route.Priority == 0
 	if len(v.Index.Document().Accounts) == 0 || route.Public && c.demand.Key == "" {
 		return nil
 	}
@@ -145,6 +145,9 @@
 	switch {
 	case ok:
 		c.Account = account.Name
+		if account.Priority != nil {
+			c.urgent = *account.Priority == 0
+		}
 	case !route.Public:
 		return c.denial(request.Unauthenticated, "unknown key")
 	}
