Bound connections, requests and heap by the machine's memory

A daemon now takes 6 requests in progress for each megabyte, closes connections after their response above 8, accepts none above 14, and the garbage collector holds the heap below 62 % of the memory instead of 75 %, because the program and its threads come on top.

TestMemoryBounds fails without the bounds.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rattanline.example/rattanline/config"
@@ -17,11 +18,19 @@
 type callers struct {
 	idle, header func() time.Duration
 
+	open   atomic.Int64
 	mu     sync.Mutex
 	timers map[net.Conn]*time.Timer
 }
 
 func (c *callers) changed(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.timers == nil {
@@ -40,6 +49,23 @@
 	}
 }
 
+// acceptPause is the pause between two looks whether there is room.
+const acceptPause = 5 * time.Millisecond
+
+// bounded accepts connections while there is room for them.
+type bounded struct {
+	net.Listener
+	room func() bool
+}
+
+// Accept implements net.Listener.
+func (b bounded) Accept() (net.Conn, error) {
+	for !b.room() {
+		time.Sleep(acceptPause)
+	}
+	return b.Listener.Accept()
+}
+
 // headed lets a handler serve requests, whose heads have arrived.
 func (c *callers) headed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/edge/command.go
+++ b/edge/command.go
@@ -25,7 +25,7 @@
 	logLines = 4096
 	// heapPart is the part of the machine's memory, in percent, from which on the
 	// garbage collector works harder.
-	heapPart = 75
+	heapPart = 62
 )
 
 // Command returns the command that runs a daemon on one of the platform's
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -45,6 +45,12 @@
 	maxHeader = 64 << 10
 	// bufferedPart is the part of the memory that bodies may fill.
 	bufferedPart = 4
+	// activePerMB is how many requests may be in progress for each megabyte of the
+	// machine's memory, crowdedPerMB the callers' connections from which on they are
+	// closed after their response, callersPerMB those that are accepted.
+	activePerMB  = 6
+	crowdedPerMB = 8
+	callersPerMB = 14
 )
 
 // Store is the platform's metadata store.
@@ -120,7 +126,7 @@
 	}
 	d.handler = &gateway.Handler{
 		Protocol: platform.Wire{}, View: d.mirror.View, Age: d.age, Loaded: d.table.Loaded, Path: path, Pool: d.pool,
-		KeyAge: max(s.RevokeTime-keyMargin, 0), Leaving: d.leaving.Load, Overloaded: d.overload.refusing,
+		KeyAge: max(s.RevokeTime-keyMargin, 0), Leaving: d.leaving.Load, Overloaded: d.overloaded, Crowded: d.crowded,
 		Gather: func() time.Duration { return d.overload.gather(s.DeliveryDelay) }, Left: d.callers.left,
 		MaxBuffered: int64(s.MemoryMB) << 20 / bufferedPart,
 	}
@@ -204,6 +210,7 @@
 			Handler: h.handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: maxHeaderTime,
 		}
 		if h.name == "frontend" {
+			l = bounded{l, func() bool { return d.callers.open.Load() < int64(max(s.MemoryMB, 1)*callersPerMB) }}
 			hs.ConnState, hs.ConnContext = d.callers.changed, d.callers.keep
 		}
 		servers = append(servers, server{h.name, hs, l})
@@ -275,3 +282,14 @@
 		d.exchange.Announce()
 	}
 }
+
+// overloaded tells whether the next request is refused, because it would be late
+// or there is no memory for it.
+func (d *Daemon) overloaded() bool {
+	return d.handler.Active() > int64(d.Settings.MemoryMB*activePerMB) || d.overload.refusing()
+}
+
+// crowded tells that there are more connections of callers than can be kept.
+func (d *Daemon) crowded() bool {
+	return d.callers.open.Load() > int64(d.Settings.MemoryMB*crowdedPerMB)
+}
--- a/edge/overload_test.go
+++ b/edge/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -155,3 +156,48 @@
 	qt.Assert(t, seen, qt.Equals, count)
 	qt.Check(t, together > count/2, qt.IsTrue, qt.Commentf("%d of %d events came with the one before", together, count))
 }
+
+// Guards against memory that grows with what callers send at once: requests
+// beyond the bound are refused, connections beyond theirs are closed after their
+// response or not accepted.
+func TestMemoryBounds(t *testing.T) {
+	r := newRig(t)
+	release := make(chan struct{})
+	desk := r.serve("desk", "i-desk", func(_ http.ResponseWriter, q *http.Request) {
+		if strings.HasPrefix(q.URL.Path, "/read/slow") {
+			<-release
+		}
+	})
+	r.configure(plainRoute("/read/", "idempotent"))
+	d := r.start(func(m *setting.Machine) { m.MemoryMB = 1 })
+	r.awaitReady(desk)
+	done := make(chan answer, activePerMB)
+	for range activePerMB {
+		go func() { done <- ask(t, d, "GET", "/read/slow", "") }()
+	}
+	r.await("all in progress", func() bool { return d.handler.Active() == activePerMB })
+	assertStatus(t, ask(t, d, "GET", "/read/", ""), 503)
+	close(release)
+	for range activePerMB {
+		<-done
+	}
+	assertStatus(t, ask(t, d, "GET", "/read/", ""), 200)
+
+	var conns []net.Conn
+	for range callersPerMB + 5 {
+		conn, err := net.Dial("tcp", d.Settings.FrontendAddress)
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		conns = append(conns, conn)
+	}
+	r.await("accepted", func() bool { return d.callers.open.Load() == callersPerMB })
+	qt.Assert(t, d.crowded(), qt.IsTrue)
+	_, err := fmt.Fprintf(conns[0], "GET /read/ HTTP/1.1\r\nHost: %s\r\nRequest-Id: crowded\r\n\r\n", routeHost)
+	qt.Assert(t, err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conns[0]), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.StatusCode, qt.Equals, 200)
+	qt.Assert(t, response.Close, qt.IsTrue)
+	time.Sleep(50 * time.Millisecond)
+	qt.Assert(t, d.callers.open.Load() <= callersPerMB, qt.IsTrue, qt.Commentf("%d open", d.callers.open.Load()))
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -48,6 +48,8 @@
 	KeyAge time.Duration
 	// Leaving tells that callers should move to other daemons.
 	Leaving func() bool
+	// Crowded tells that connections are closed after their response.
+	Crowded func() bool
 	// Overloaded tells that a new request is refused, because it would be late.
 	Overloaded func() bool
 	// Gather returns how long events of a stream are gathered before they are passed
@@ -79,7 +81,7 @@
 	c.Listener = c
 	h.Path.Begin(&c.Call)
 	defer h.Path.End(&c.Call)
-	if h.Leaving() {
+	if h.Leaving() || h.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	refused := c.intake(r)
