--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,45 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a clock that leaves the boot clock, or stays behind after a
+// suspension.
+func TestNow(t *testing.T) {
+	t.Run("follows the boot clock", func(t *testing.T) {
+		for range 50 {
+			before := bootTime()
+			now := time.Duration(Now())
+			after := bootTime()
+			qt.Assert(t, now >= before-stepLimit && now <= after+stepLimit, qt.IsTrue, qt.Commentf("%s of %s to %s", now, before, after))
+			time.Sleep(3 * time.Millisecond)
+		}
+	})
+	t.Run("suspension", func(t *testing.T) {
+		Now()
+		// As if the machine had been suspended since the last reading: the boot clock
+		// and the time of day have gone on by 5 s.
+		r := *last.Load()
+		r.boot, r.wall = r.boot-5*time.Second, r.wall-5*time.Second
+		last.Store(&r)
+		qt.Assert(t, time.Duration(Now()) >= bootTime()-stepLimit, qt.IsTrue)
+	})
+	t.Run("suspension that a step of the time of day hides", func(t *testing.T) {
+		Now()
+		r := *last.Load()
+		r.boot -= 5 * time.Second
+		last.Store(&r)
+		time.Sleep(readTime + 10*time.Millisecond)
+		qt.Assert(t, time.Duration(Now()) >= bootTime()-stepLimit, qt.IsTrue)
+	})
+}
+
+func BenchmarkNow(b *testing.B) {
+	for range b.N {
+		Now()
+	}
+}
--- a/edge/overload_test.go
+++ b/edge/overload_test.go
@@ -123,14 +123,7 @@
 	d := r.startDaemon(&Daemon{ProcessorTime: clock.used}, func(m *setting.Machine) { m.Cores, m.DeliveryDelay = 0.1, allowed })
 	r.awaitReady(engine)
 	r.await("busy", d.overload.gathers.Load)
-	q, err := http.NewRequest("POST", "http://"+d.Settings.FrontendAddress+"/chat/", nil)
-	qt.Assert(t, err, qt.IsNil)
-	q.Host = routeHost
-	q.Header.Set("Request-Id", "gathered")
-	q.Header.Set("Authorization", "Token "+apiKey)
-	response, err := http.DefaultClient.Do(q)
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = response.Body.Close() }()
+	response := openStream(t, d)
 	lines := bufio.NewScanner(response.Body)
 	seen, together := 0, 0
 	var last time.Time
--- a/edge/request_test.go
+++ b/edge/request_test.go
@@ -227,14 +227,7 @@
 		r.configure(streamRoute("/chat/", false))
 		d := r.start()
 		r.awaitReady(slow)
-		q, err := http.NewRequest("POST", "http://"+d.Settings.FrontendAddress+"/chat/", nil)
-		qt.Assert(t, err, qt.IsNil)
-		q.Host = routeHost
-		q.Header.Set("Request-Id", "stream")
-		q.Header.Set("Authorization", "Token "+apiKey)
-		response, err := http.DefaultClient.Do(q)
-		qt.Assert(t, err, qt.IsNil)
-		defer func() { _ = response.Body.Close() }()
+		response := openStream(t, d)
 		reader := bufio.NewReader(response.Body)
 		for id := 1; id <= 3; id++ {
 			for _, want := range []string{fmt.Sprintf("id: %d\n", id), fmt.Sprintf("data: event %d\n", id), "\n"} {
@@ -244,7 +237,7 @@
 			}
 			next <- struct{}{}
 		}
-		_, err = reader.ReadByte()
+		_, err := reader.ReadByte()
 		qt.Assert(t, err, qt.Equals, io.EOF)
 	})
 }
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -273,6 +273,21 @@
 	return answer{status: response.StatusCode, header: response.Header, body: string(data), err: err}
 }
 
+// openStream sends a request for a stream and returns the response, whose body is
+// still to be read.
+func openStream(t *testing.T, d *process) *http.Response {
+	t.Helper()
+	q, err := http.NewRequest("POST", "http://"+d.Settings.FrontendAddress+"/chat/", nil)
+	qt.Assert(t, err, qt.IsNil)
+	q.Host = routeHost
+	q.Header.Set("Request-Id", "stream")
+	q.Header.Set("Authorization", "Token "+apiKey)
+	response, err := http.DefaultClient.Do(q)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
 func assertStatus(t *testing.T, a answer, status int) {
 	t.Helper()
 	qt.Assert(t, a.status, qt.Equals, status, qt.Commentf("%v %s", a.err, a.body))
