--- a/gateway/call.go
+++ b/gateway/call.go
@@ -51,17 +51,20 @@
 }
 
 // Barred implements relay.Listener.
-func (c *call) Barred(ctx context.Context) *request.Refusal {
-	if c.handler.Left(ctx) {
-		return &request.Refusal{Reason: request.CallerGone, Detail: "caller left"}
-	}
-	return c.stale()
+func (c *call) Barred(context.Context) *request.Refusal { return c.stale() }
+
+// gone tells that nobody waits for the answer any more. A busy machine hears of
+// both only later by the context.
+func (c *call) gone(ctx context.Context) bool {
+	return c.handler.Left(ctx) || !time.Now().Before(c.Deadline)
 }
 
 // Send implements relay.Listener.
 func (c *call) Send(ctx context.Context, slot port.Assignment) relay.Result {
 	h := c.handler
-	reply, err := h.Pool.Send(ctx, c.outgoing())
+	outgoing := c.outgoing()
+	outgoing.Stop = func() bool { return c.gone(ctx) }
+	reply, err := h.Pool.Send(ctx, outgoing)
 	if err != nil {
 		return c.unanswered(ctx, err)
 	}
@@ -123,6 +126,14 @@
 	if ctx.Err() != nil {
 		r.Result = port.Canceled
 	}
+	if errors.Is(err, upstream.ErrStopped) {
+		r.Result, r.Final = port.Canceled, true
+		refusal := &request.Refusal{Reason: request.DeadlinePassed, Detail: "its time was over before it was sent"}
+		if time.Now().Before(c.Deadline) {
+			refusal = &request.Refusal{Reason: request.CallerGone, Detail: "the caller left before the request was sent"}
+		}
+		r.Err = refusal
+	}
 	if r.Written {
 		c.Wrote()
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -42,6 +42,9 @@
 // ErrBroken is the cause of a response that ended or was spoiled before its end.
 var ErrBroken = errors.New("connection broke")
 
+// ErrStopped is the cause of a call that was stopped before it was sent.
+var ErrStopped = errors.New("stopped before it was sent")
+
 // Call is one request as it is sent to one target.
 type Call struct {
 	// Address is the IP and port of the target, Key tells its connections apart
@@ -54,6 +57,9 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
+	// Stop is asked right before the first byte is written, which may be long after
+	// the call began; nothing is sent if it returns true. It may be nil.
+	Stop func() bool
 	// Ours tells whether a response belongs to this call; nil means that the next
 	// one does.
 	Ours func(*http.Response) bool
@@ -146,10 +152,14 @@
 		}
 		return nil, &SendError{Written: true, Err: err}
 	}
-	if ctx.Err() != nil {
+	cause := ctx.Err()
+	if cause == nil && c.Stop != nil && c.Stop() {
+		cause = ErrStopped
+	}
+	if cause != nil {
 		stop()
 		p.drop(cn)
-		return nil, &SendError{Err: ctx.Err()}
+		return nil, &SendError{Err: cause}
 	}
 	wrote, n, err := cn.write(c)
 	if err != nil && n == 0 {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -246,3 +246,27 @@
 	p.Trim(func(string) bool { return false })
 	qt.Assert(t, p.Open(), qt.Equals, 0)
 }
+
+// Guards against requests that are sent after their caller left while a
+// connection was being made.
+func TestStop(t *testing.T) {
+	x := newRawTarget(t, say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	p := &Pool{}
+	for _, stopped := range []bool{true, false} {
+		reply, err := p.Send(context.Background(), Call{
+			Address: x.Addr().String(), Key: "t", Method: "GET", URI: "/", Host: "h", Header: http.Header{"Id": {"1"}},
+			Stop: func() bool { return stopped },
+		})
+		if stopped {
+			qt.Assert(t, errors.Is(err, ErrStopped), qt.IsTrue)
+			var s *SendError
+			qt.Assert(t, errors.As(err, &s) && !s.Written, qt.IsTrue)
+			continue
+		}
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, reply.Close(), qt.IsNil)
+	}
+	_, ids := x.counts()
+	qt.Assert(t, ids, qt.DeepEquals, []string{"1"})
+	qt.Assert(t, p.Open() <= 1, qt.IsTrue)
+}
