Simplify the soak's targets and proxies

A target could be given an existing proxy, and a proxy another address; nothing used either. Both are gone, errors of listeners carry what was being done, and the end of a stream is compared with io.EOF instead of its text. No change of what is injected or checked.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -96,7 +96,7 @@
 	for i, o := range w.targets {
 		if o == t {
 			w.targets = append(w.targets[:i], w.targets[i+1:]...)
-			if err := w.startTarget(t.service, t.zone, nil, true); err != nil {
+			if err := w.startTarget(t.service, t.zone, true); err != nil {
 				w.judge.report("SOAK", "start a target: %v", err)
 			}
 			return
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -26,12 +28,12 @@
 // bytesDelay is how late bytes are on a delayed connection.
 const bytesDelay = 60 * time.Millisecond
 
-// proxy forwards connections to one address, which may change.
+// proxy forwards connections to one address.
 type proxy struct {
 	listener net.Listener
+	upstream string
 
 	mu       sync.Mutex
-	upstream string
 	mode     mode
 	changed  chan struct{}
 	conns    map[net.Conn]bool
@@ -40,7 +42,7 @@
 func newProxy(upstream string) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("listen for a proxy: %w", err)
 	}
 	p := &proxy{listener: l, upstream: upstream, mode: pass, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 	go func() {
@@ -57,13 +59,6 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-// lead changes where new connections go.
-func (p *proxy) lead(upstream string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.upstream = upstream
-}
-
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -140,10 +135,7 @@
 		abort(client)
 		return
 	}
-	p.mu.Lock()
-	upstream := p.upstream
-	p.mu.Unlock()
-	server, err := net.DialTimeout("tcp", upstream, time.Second)
+	server, err := net.DialTimeout("tcp", p.upstream, time.Second)
 	if err != nil {
 		abort(client) // the closest to a refused connection
 		return
@@ -177,7 +169,7 @@
 			}
 		}
 		if err != nil {
-			if err.Error() == "EOF" {
+			if err == io.EOF {
 				if t, ok := to.(*net.TCPConn); ok && !fromServer {
 					_ = t.CloseWrite()
 					return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -118,12 +118,12 @@
 	}
 	w.configure()
 	for i := range zones * enginesPerZone {
-		if err := w.startTarget("engine", zoneName(i), nil, false); err != nil {
+		if err := w.startTarget("engine", zoneName(i), false); err != nil {
 			return err
 		}
 	}
 	for i := range zones * desksPerZone {
-		if err := w.startTarget("desk", zoneName(i), nil, false); err != nil {
+		if err := w.startTarget("desk", zoneName(i), false); err != nil {
 			return err
 		}
 	}
--- a/soak/target.go
+++ b/soak/target.go
@@ -31,22 +31,22 @@
 	server  *http.Server
 	waiting atomic.Int32
 	places  chan struct{}
+
+	mu sync.Mutex
 	// lose and garble are the parts of the answers that are lost or spoiled.
-	mu           sync.Mutex
 	lose, garble float64
 }
 
-func (w *world) startTarget(service, zone string, p *proxy, cold bool) error {
+// startTarget starts a target and lists it.
+func (w *world) startTarget(service, zone string, cold bool) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return fmt.Errorf("listen for a target: %w", err)
 	}
-	if p == nil {
-		if p, err = newProxy(l.Addr().String()); err != nil {
-			return err
-		}
+	p, err := newProxy(l.Addr().String())
+	if err != nil {
+		return err
 	}
-	p.lead(l.Addr().String())
 	w.started++
 	t := &target{
 		world: w, id: fmt.Sprintf("i-%s", sum(service, w.options.Seed, w.started)[:10]), service: service, zone: zone, proxy: p,
