--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -33,10 +33,10 @@
 	listener net.Listener
 	upstream string
 
-	mu       sync.Mutex
-	mode     mode
-	changed  chan struct{}
-	conns    map[net.Conn]bool
+	mu      sync.Mutex
+	mode    mode
+	changed chan struct{}
+	conns   map[net.Conn]bool
 }
 
 func newProxy(upstream string) (*proxy, error) {
