Keep the platform's names in the stand-ins, out of the soak

The soak wrote the platform's keys, fields and headers itself, so they stood in a third place beside the adapter and the stand-ins. The stand-ins now hold what the other side says (operators' configuration, entries, heads, settings file, directory) from types of our own, and the soak uses these.

No behaviour changes.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +10,9 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"rattanline.example/rattanline/request"
+	"rattanline.example/rattanline/standin"
 )
 
 const (
@@ -68,22 +70,14 @@
 	for range 3 {
 		m := c.world.machines[c.random.IntN(len(c.world.machines))]
 		asked := time.Now()
-		response, err := client.Get("http://" + m.address(directoryPort) + "/-/resolve?name=" + routeHost + "&zone=" + c.zone)
-		if err != nil {
-			continue
-		}
-		var answer struct {
-			Addresses []string `json:"addresses"`
-		}
-		err = json.NewDecoder(response.Body).Decode(&answer)
-		_ = response.Body.Close()
-		if err != nil || len(answer.Addresses) == 0 {
-			continue
+		addresses, err := standin.AskDirectory(client, m.address(directoryPort), routeHost, c.zone)
+		if err != nil || len(addresses) == 0 {
+			continue // the next one is asked
 		}
 		if time.Since(asked) < 500*time.Millisecond { // else the process was stopped meanwhile
-			c.world.judge.named(m.frontend(), answer.Addresses)
+			c.world.judge.named(m.frontend(), addresses)
 		}
-		c.addresses, c.told = answer.Addresses, time.Now()
+		c.addresses, c.told = addresses, time.Now()
 		return
 	}
 }
@@ -136,14 +130,16 @@
 }
 
 func (c *caller) exchange(s *sent, key string) (*http.Response, error) {
-	var head strings.Builder
-	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", s.path, routeHost, s.id, requestTime.Milliseconds())
+	demand := request.Demand{ID: s.id, Wait: requestTime}
 	if s.kind.keyed {
-		fmt.Fprintf(&head, "Authorization: Token %s\r\n", key)
+		demand.Key = key
 	}
 	if s.kind.stream {
-		fmt.Fprintf(&head, "Model: m\r\nToken-Usage: %d,%d\r\nPrefix-Hash: ab%d:300,%s:60\r\n", 360, 60, c.random.IntN(4), s.id)
+		demand.Prompt, demand.MaxOutput = 360, 60
+		demand.Parts = []request.Part{{ID: fmt.Sprintf("ab%d", c.random.IntN(4)), Tokens: 300}, {ID: s.id, Tokens: 60}}
 	}
+	var head strings.Builder
+	head.WriteString(standin.CallerHead(s.path, routeHost, demand))
 	if c.random.IntN(2) == 0 {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n%s", len(s.body), s.body)
 	} else {
@@ -168,8 +164,8 @@
 		return false, whole
 	}
 	text := string(body)
-	if r.Header.Get("Server-Signature") != signature(s.id) {
-		c.world.judge.report("MIXED", "request %s (%s) got a success with the signature %q", s.id, s.kind.name, r.Header.Get("Server-Signature"))
+	if signed := standin.Signature(r); signed != signature(s.id) {
+		c.world.judge.report("MIXED", "request %s (%s) got a success with the signature %q", s.id, s.kind.name, signed)
 		return false, whole
 	}
 	if !s.kind.stream {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -153,6 +153,8 @@
 	defer w.mu.Unlock()
 	old := w.keys[account]
 	w.keys[account] = "key-" + sum(account, w.options.Seed, w.version)
-	w.configure()
+	if err := w.configure(); err != nil {
+		w.judge.report("SOAK", "%v", err)
+	}
 	w.judge.replace(old, w.keys[account])
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -191,9 +191,9 @@
 		j.broken("UNASKED", "request %s at %s has another path or body", id, target)
 	case s.kind.keyed && account != s.account:
 		j.broken("UNASKED", "request %s at %s runs for account %q, not %q", id, target, account, s.account)
-	case !s.kind.repeat && len(s.runs) > 1:
+	case !s.kind.again() && len(s.runs) > 1:
 		j.broken("TWICE", "request %s (%s) runs again at %s", id, s.kind.name, target)
-	case !s.kind.repeat && s.refused:
+	case !s.kind.again() && s.refused:
 		j.broken("REFUSED", "request %s (%s) runs at %s after it was refused with %d", id, s.kind.name, target, s.status)
 	}
 	if at, ok := j.revoked[s.key]; ok && s.kind.keyed && s.at.Sub(at) > revokeTime {
@@ -209,7 +209,7 @@
 	switch status {
 	case 408, 421, 429, 503:
 		s.refused = true
-		if !s.kind.repeat && len(s.runs) > 0 {
+		if !s.kind.again() && len(s.runs) > 0 {
 			j.broken("REFUSED", "request %s (%s) was refused with %d and has run", s.id, s.kind.name, status)
 		}
 	case 400, 403, 404, 413, 431:
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -14,6 +14,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rattanline.example/rattanline/setting"
+	"rattanline.example/rattanline/standin"
 )
 
 const (
@@ -80,30 +83,12 @@
 func zoneName(number int) string { return "zone-" + string(rune('a'+number%zones)) }
 
 func (m *machine) settings() string {
-	return fmt.Sprintf(`node_name = %q
-ip = %q
-zone = %q
-seeds = []
-[listen]
-frontend = %q
-ready = %q
-control_plane = %q
-directory = %q
-[limits]
-memory_mb = %d
-[bounds]
-grace_s = %g
-revoke_strict = true
-revoke_ms = %d
-retry_budget_ratio = %g
-retry_window_s = %g
-retry_slack = %d
-ttl_max_s = 5
-[platform]
-address = %q
-ttl_min_ms = 1000
-`, m.name, m.ip, m.zone, m.frontend(), m.address(readyPort), m.address(linkPort), m.address(directoryPort),
-		memoryMB, graceTime.Seconds(), revokeTime.Milliseconds(), retryRatio, retryWindow.Seconds(), retrySlack, m.store.address())
+	return standin.MachineSettings(setting.Machine{
+		Name: m.name, IP: m.ip, FailureDomain: m.zone, FrontendAddress: m.frontend(), ReadyAddress: m.address(readyPort),
+		LinkAddress: m.address(linkPort), DirectoryAddress: m.address(directoryPort), StoreAddress: m.store.address(),
+		MemoryMB: memoryMB, GraceTime: graceTime, RevokeTime: revokeTime, RetryRatio: retryRatio, RetryWindow: retryWindow, RetrySlack: retrySlack,
+		MaxResolveTime: 5 * time.Second, MinLease: time.Second,
+	})
 }
 
 // start starts the process. It is started again a moment after it ended.
@@ -113,7 +98,7 @@
 	program := m.world.options.Program
 	command := exec.Command(program[0], program[1:]...)
 	command.Env = append(os.Environ(), m.world.options.Environment...)
-	command.Env = append(command.Env, "RATTANLINE_CONFIG="+m.file)
+	command.Env = append(command.Env, standin.SettingsVariable+"="+m.file)
 	command.Stdout, command.Stderr = m.log, m.log
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", m.name, err)
@@ -191,12 +176,7 @@
 func (m *machine) awaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(30 * time.Millisecond) {
-		response, err := client.Get("http://" + m.address(readyPort) + "/-/readyz")
-		if err != nil {
-			continue
-		}
-		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+		if ready, err := standin.AskReady(client, m.address(readyPort)); err == nil && ready {
 			return nil
 		}
 	}
--- a/soak/request.go
+++ b/soak/request.go
@@ -5,25 +5,26 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"rattanline.example/rattanline/config"
 )
 
 // kind is a kind of request, with the route and service it uses.
 type kind struct {
-	name, prefix, service, routeType string
-	stream, resumable                bool
-	// repeat tells that the request may run more than once.
-	repeat bool
-	keyed  bool
-	// cold tells that targets of the service are cold after a start.
-	cold bool
+	name, prefix, service string
+	repeat                config.Repeat
+	stream, keyed         bool
 }
 
+// again tells that the request may run more than once.
+func (k kind) again() bool { return k.repeat != config.RepeatNever }
+
 // The kinds of request.
 var kinds = []kind{
-	{name: "reserve", prefix: "/reserve/", service: "desk", routeType: "non_idempotent", keyed: true},
-	{name: "lookup", prefix: "/lookup/", service: "desk", routeType: "idempotent", repeat: true},
-	{name: "draft", prefix: "/draft/", service: "engine", routeType: "streaming", stream: true, keyed: true, cold: true},
-	{name: "notes", prefix: "/notes/", service: "engine", routeType: "streaming", stream: true, resumable: true, repeat: true, cold: true},
+	{name: "reserve", prefix: "/reserve/", service: "desk", repeat: config.RepeatNever, keyed: true},
+	{name: "lookup", prefix: "/lookup/", service: "desk", repeat: config.RepeatAny},
+	{name: "draft", prefix: "/draft/", service: "engine", repeat: config.RepeatNever, stream: true, keyed: true},
+	{name: "notes", prefix: "/notes/", service: "engine", repeat: config.RepeatFrom, stream: true},
 }
 
 const (
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/standin"
 )
 
@@ -65,7 +65,7 @@
 	targets []*target
 	started int // targets so far
 	faults  []string
-	version int
+	version uint64
 	keys    map[string]string // by account
 }
 
@@ -116,7 +116,9 @@
 	for _, a := range accounts {
 		w.keys[a] = "key-of-" + a
 	}
-	w.configure()
+	if err := w.configure(); err != nil {
+		return err
+	}
 	for i := range zones * enginesPerZone {
 		if err := w.startTarget("engine", zoneName(i), false); err != nil {
 			return err
@@ -163,34 +165,34 @@
 }
 
 // configure writes the configuration with the keys in force.
-func (w *world) configure() {
+func (w *world) configure() error {
 	w.version += 2
-	var routes, tenants []any
+	d := config.Document{
+		Version: w.version,
+		Services: []config.Service{
+			{Name: "desk", Kind: config.Plain, Connection: config.Connection{HealthPath: "/healthz", MaxConnections: 200}},
+			{Name: "engine", Kind: config.Model, Connection: config.Connection{
+				HealthPath: "/healthz", MaxConnections: 400, ColdTime: config.Duration(coldTime), ColdRate: coldPerSecond,
+			}},
+		},
+		Limits: config.Limits{
+			MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeout: config.Duration(3 * time.Second),
+			IdleTimeout: config.Duration(5 * time.Second), TokenRate: 200000,
+		},
+	}
 	for _, k := range kinds {
-		routes = append(routes, map[string]any{
-			"name": "r-" + k.name, "host": routeHost, "path_prefix": k.prefix, "route_type": k.routeType, "resumable": k.resumable,
-			"timeout_ms": requestTime.Milliseconds(), "target_latency_ms": 800, "target_gap_ms": 400, "service": k.service, "max_attempts": 3,
-			"public": !k.keyed, "sticky": k.stream,
+		d.Routes = append(d.Routes, config.Route{
+			Name: "r-" + k.name, Host: routeHost, PathPrefix: k.prefix, Repeat: k.repeat, Stream: k.stream, Timeout: config.Duration(requestTime),
+			LatencyAim: config.Duration(800 * time.Millisecond), MaxAttempts: 3, Public: !k.keyed, Prompts: k.stream,
+			Split: []config.Share{{Service: k.service, Weight: 1}},
 		})
 	}
+	keys := map[string][]string{}
 	for _, a := range accounts {
-		tenants = append(tenants, map[string]any{"name": a, "api_keys": []string{w.keys[a]}})
-	}
-	data, err := json.Marshal(map[string]any{
-		"version": w.version, "routes": routes, "tenants": tenants,
-		"services": []any{
-			map[string]any{"name": "desk", "health_path": "/healthz", "max_connections": 200},
-			map[string]any{
-				"name": "engine", "health_path": "/healthz", "max_connections": 400, "cold_start_s": coldTime.Seconds(),
-				"cold_per_s": coldPerSecond, "engine": map[string]any{"slots": slots},
-			},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 5000, "tokens_per_s": 200000},
-	})
-	if err != nil {
-		panic(err) // the document has only strings and numbers
+		d.Accounts = append(d.Accounts, config.Account{Name: a})
+		keys[a] = []string{w.keys[a]}
 	}
-	w.store.Put("op/config", string(data))
+	return w.store.Configure(d, keys)
 }
 
 // keyOf returns the key that the account's callers use now.
--- a/soak/target.go
+++ b/soak/target.go
@@ -10,6 +10,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rattanline.example/rattanline/mirror"
+	"rattanline.example/rattanline/standin"
 )
 
 const (
@@ -55,33 +58,33 @@
 	t.server = &http.Server{Handler: t, IdleTimeout: 5 * time.Second}
 	go func() { _ = t.server.Serve(l) }()
 	w.targets = append(w.targets, t)
-	t.list("ready")
+	t.list(false)
 	return nil
 }
 
 // list writes the target's entry.
-func (t *target) list(state string) {
+func (t *target) list(leaving bool) {
 	cold := time.Duration(0)
 	if t.cold {
 		cold = max(coldTime-time.Since(t.started), 0)
 	}
-	t.world.store.Put("servers/"+t.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":%d,"sequence":1,"born":%d}`,
-		t.service, t.proxy.address(), t.zone, slots, state, cold.Milliseconds(), t.started.UnixMilli(),
-	))
+	t.world.store.List(mirror.Target{
+		Name: t.id, Service: t.service, Address: t.proxy.address(), Domain: t.zone, Slots: slots, Leaving: leaving,
+		Cold: cold, Born: t.started.UnixMilli(),
+	})
 }
 
 // leave lets the target serve on for a while and end.
 func (t *target) leave(announced bool) {
 	if announced {
-		t.list("draining")
+		t.list(true)
 	} else {
-		t.world.store.Remove("servers/" + t.id)
+		t.world.store.Unlist(t.id)
 	}
 	t.world.judge.leaves(t.id)
 	go func() {
 		time.Sleep(lingerTime)
-		t.world.store.Remove("servers/" + t.id)
+		t.world.store.Unlist(t.id)
 		_ = t.server.Close()
 	}()
 }
@@ -92,7 +95,7 @@
 	t.proxy.reset()
 	go func() {
 		time.Sleep(1500 * time.Millisecond)
-		t.world.store.Remove("servers/" + t.id)
+		t.world.store.Unlist(t.id)
 	}()
 }
 
@@ -112,9 +115,9 @@
 
 // ServeHTTP implements http.Handler.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.id {
+	arrival := standin.ReadArrival(w, r)
+	id := arrival.ID
+	if arrival.Expected != "" && arrival.Expected != t.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -126,8 +129,7 @@
 	t.world.judge.arrived(t.service, t.id, id, cold)
 	if t.waiting.Add(1) > queueLength+slots {
 		t.waiting.Add(-1)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		standin.RefuseFull(w)
 		return
 	}
 	defer t.waiting.Add(-1)
@@ -137,12 +139,11 @@
 		return
 	}
 	defer func() { <-t.places }()
-	t.world.judge.ran(t.id, id, r.URL.Path, string(body), r.Header.Get("Tenant"))
+	t.world.judge.ran(t.id, id, r.URL.Path, string(body), arrival.Account)
 	lose, garble := t.fate()
-	w.Header().Set("Server-Signature", signature(id))
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d", len(t.places), max(int(t.waiting.Load())-slots, 0), slots))
+	standin.Sign(w, signature(id), len(t.places), max(int(t.waiting.Load())-slots, 0), slots)
 	if t.service == "engine" {
-		t.stream(w, r, id, lose, garble)
+		t.stream(w, r, arrival, lose, garble)
 		return
 	}
 	time.Sleep(workTime)
@@ -159,8 +160,8 @@
 	_, _ = io.WriteString(w, answer)
 }
 
-func (t *target) stream(w http.ResponseWriter, r *http.Request, id string, lose, garble bool) {
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+func (t *target) stream(w http.ResponseWriter, r *http.Request, arrival standin.Arrival, lose, garble bool) {
+	last := arrival.LastEvent
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	stop := last + 1 + rand.IntN(events)
@@ -170,7 +171,7 @@
 			return
 		case <-time.After(eventPause):
 		}
-		e := event(id, n)
+		e := event(arrival.ID, n)
 		if (lose || garble) && n == stop {
 			if garble {
 				_, _ = io.WriteString(w, e[:len(e)/2])
--- /dev/null
+++ b/standin/machine.go
@@ -0,0 +1,76 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"rattanline.example/rattanline/setting"
+)
+
+// SettingsVariable names the environment variable that tells a daemon of the
+// platform its settings file.
+const SettingsVariable = "RATTANLINE_CONFIG"
+
+// MachineSettings returns the settings file that the platform gives to a daemon.
+func MachineSettings(m setting.Machine) string {
+	seeds := make([]string, len(m.Seeds))
+	for i, s := range m.Seeds {
+		seeds[i] = fmt.Sprintf("%q", s)
+	}
+	return fmt.Sprintf(`node_name = %q
+ip = %q
+zone = %q
+seeds = [%s]
+[listen]
+frontend = %q
+ready = %q
+control_plane = %q
+directory = %q
+[limits]
+memory_mb = %d
+[bounds]
+grace_s = %g
+revoke_strict = %t
+revoke_ms = %d
+retry_budget_ratio = %g
+retry_window_s = %g
+retry_slack = %g
+ttl_max_s = %g
+[platform]
+address = %q
+ttl_min_ms = %d
+`, m.Name, m.IP, m.FailureDomain, strings.Join(seeds, ", "), m.FrontendAddress, m.ReadyAddress, m.LinkAddress, m.DirectoryAddress,
+		m.MemoryMB, m.GraceTime.Seconds(), m.RevokeTime > 0, m.RevokeTime.Milliseconds(), m.RetryRatio, m.RetryWindow.Seconds(), m.RetrySlack,
+		m.MaxResolveTime.Seconds(), m.StoreAddress, m.MinLease.Milliseconds())
+}
+
+// AskDirectory asks the directory at the address where callers of a failure
+// domain connect.
+func AskDirectory(c *http.Client, address, host, domain string) ([]string, error) {
+	query := url.Values{"name": {host}, "zone": {domain}}
+	response, err := c.Get("http://" + address + "/-/resolve?" + query.Encode())
+	if err != nil {
+		return nil, fmt.Errorf("ask the directory: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return nil, fmt.Errorf("read the directory's answer: %w", err)
+	}
+	return answer.Addresses, nil
+}
+
+// AskReady asks the daemon at the address whether it takes callers.
+func AskReady(c *http.Client, address string) (bool, error) {
+	response, err := c.Get("http://" + address + "/-/readyz")
+	if err != nil {
+		return false, fmt.Errorf("ask whether the daemon is ready: %w", err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK, nil
+}
