Log whom an overloaded daemon refuses, and what its processor time is spent on

- The account is found by its key before any refusal, and `request ended` names the caller.
- `directory answered` names the caller and the addresses.
- `load`, once a second while there are requests, has the numbers of requests, refusals, events and connections, and the processor time.
- Counters for the same figures.

--- a/edge/conntracker.go
+++ b/edge/conntracker.go
@@ -28,6 +28,7 @@
 	switch state {
 	case http.StateNew:
 		c.open.Add(1)
+		callerConnections.Inc()
 	case http.StateClosed, http.StateHijacked:
 		c.open.Add(-1)
 	case http.StateActive, http.StateIdle:
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -152,7 +152,7 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, running := errgroup.WithContext(running)
-	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload} {
+	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload, d.logLoad} {
 		g.Go(func() error { return run(running) })
 	}
 	for _, s := range servers {
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -67,7 +67,9 @@
 	case len(ready) > 0:
 		list = ready
 	}
-	return platform.ResolveResponse{Addresses: addressesFor(list, q.Caller), TTL: d.resolveTTL()}
+	addresses := addressesFor(list, q.Caller)
+	d.Logger.Info().Str("caller", q.Caller).Str("caller-failure-domain", q.Domain).Int("candidates", len(list)).Strs("addresses", addresses).Msg("directory answered")
+	return platform.ResolveResponse{Addresses: addresses, TTL: d.resolveTTL()}
 }
 
 // addressesFor selects at most maxAddresses frontend addresses for a caller and
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -42,6 +42,7 @@
 	*Daemon
 	stop func()        // starts the shutdown, as SIGTERM does
 	done chan struct{} // closed when Run has returned
+	log  logBuffer
 }
 
 func newRig(t testing.TB) *rig {
@@ -86,8 +87,8 @@
 		c(&m)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d.Settings, d.Logger = m, zerolog.New(zerolog.NewTestWriter(r.t))
 	p := &process{Daemon: d, stop: cancel, done: make(chan struct{})}
+	d.Settings, d.Logger = m, zerolog.New(zerolog.MultiLevelWriter(zerolog.NewTestWriter(r.t), &p.log))
 	r.daemons = append(r.daemons, p)
 	go func() {
 		defer close(p.done)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -25,6 +25,7 @@
 	relay.Call
 	handler *Handler
 	out     response
+	caller  string // its address and port
 
 	demand              request.Demand
 	index               *config.Index
@@ -182,7 +183,7 @@
 
 // AddLogFields implements relay.CallHandler.
 func (c *call) AddLogFields(e *zerolog.Event) {
-	e.Str("route", c.routed.Name).Dur("config-age", c.configurationAge).Bool("cut", c.out.cut)
+	e.Str("caller", c.caller).Str("route", c.routed.Name).Dur("config-age", c.configurationAge).Bool("cut", c.out.cut)
 	if c.index != nil {
 		e.Uint64("config", c.index.Version())
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"rattanline.example/rattanline/port"
@@ -26,8 +25,6 @@
 	maxHeldBytes = 16 << 10
 )
 
-var resumedStreams = metrics.NewCounter("rattanline_streams_resumed_total")
-
 // drain reads a response that isn't forwarded, so that its connection can be
 // reused.
 func drain(reply *upstream.Reply) { _, _ = io.CopyN(io.Discard, reply, maxDrainBytes) }
@@ -156,6 +153,7 @@
 		if err := c.out.begin(); err != nil {
 			return callerGoneResult(err)
 		}
+		forwardedEvents.Inc()
 		if err := c.out.write(event.Raw); err != nil {
 			return callerGoneResult(err)
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/mirror"
 	"rattanline.example/rattanline/placement"
 	"rattanline.example/rattanline/relay"
@@ -81,11 +82,12 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	receivedRequests.Inc()
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	demand := h.Protocol.Demand(r)
 	c := &call{
-		Call: relay.Call{ID: demand.ID, Arrived: time.Now()}, handler: h, demand: demand,
+		Call: relay.Call{ID: demand.ID, Arrived: time.Now()}, handler: h, demand: demand, caller: r.RemoteAddr,
 		out: response{writer: w, control: http.NewResponseController(w)},
 	}
 	c.Handler = c
@@ -126,11 +128,13 @@
 	h := c.handler
 	v := h.View()
 	c.configurationAge = h.ConfigurationAge()
+	account, known := c.identify(v.Index)
 	switch {
 	case h.Stopping.Load():
 		c.out.closing = true
 		return &request.Refusal{Reason: request.Stopping, Detail: "this daemon stops", RetryAfter: stopRetryAfter}
 	case h.Overloaded():
+		overloadedRefusals.Inc()
 		return &request.Refusal{Reason: request.Overloaded, Detail: "this daemon is overloaded", RetryAfter: overloadRetryAfter}
 	case v.Index == nil:
 		return &request.Refusal{Reason: request.NoTarget, Detail: "no configuration yet", RetryAfter: defaultRetryAfter}
@@ -156,10 +160,8 @@
 	if len(v.Index.Document().Accounts) == 0 || route.Public && c.demand.APIKey == "" {
 		return nil
 	}
-	account, ok := v.Index.AccountByKey(c.demand.APIKey)
 	switch {
-	case ok:
-		c.Account = account.Name
+	case known:
 		if account.Priority != nil {
 			c.urgent = *account.Priority == 0
 		}
@@ -170,6 +172,17 @@
 	return c.checkKeyAge()
 }
 
+// identify finds the account that the key of the request belongs to. All log lines
+// name the account, also those of requests that are refused before they are routed.
+func (c *call) identify(x *config.Index) (config.Account, bool) {
+	if x == nil {
+		return config.Account{}, false
+	}
+	account, known := x.AccountByKey(c.demand.APIKey)
+	c.Account = account.Name
+	return account, known
+}
+
 // denial refuses a request permanently, or temporarily if a newer configuration may
 // allow it.
 func (c *call) denial(reason request.Reason, detail string) *request.Refusal {
