--- a/soak/process.go
+++ b/soak/process.go
@@ -86,7 +86,7 @@
 	return standin.SettingsFile(setting.HostSettings{
 		Name: p.name, IP: p.ip, FailureDomain: p.domain, FrontendAddress: p.frontend(), ReadyAddress: p.address(readyPort),
 		LinkAddress: p.address(linkPort), DirectoryAddress: p.address(directoryPort), StoreAddress: p.storeProxy.address(),
-		MemoryMB: memoryMB, GraceTime: graceTime, RevokeTime: revokeTime, RetryRatio: retryRatio, RetryWindow: retryWindow, RetrySlack: retrySlack,
+		Cores: p.cluster.options.Cores, MemoryMB: memoryMB, GraceTime: graceTime, RevokeTime: revokeTime, RetryRatio: retryRatio, RetryWindow: retryWindow, RetrySlack: retrySlack,
 		MaxAddressTTL: 5 * time.Second, MinLease: time.Second,
 	})
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -33,6 +33,9 @@
 	Seed uint64
 	// Daemons is the number of daemons.
 	Daemons int
+	// Cores is the processor time that the settings give each daemon, in cores; zero
+	// leaves it unknown. Daemons refuse requests when they use more.
+	Cores float64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Program is the daemon's executable with its arguments.
@@ -65,6 +68,7 @@
 	checker      *checker
 	store        *standin.Metadata
 	storeAddress string
+	storeServer  *http.Server
 	processes    []*process
 
 	mu             sync.Mutex
@@ -81,19 +85,11 @@
 
 // Run runs daemons under load and faults, and reports violated guarantees.
 func Run(ctx context.Context, o Options) (Report, error) {
-	c := &cluster{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), checker: newChecker(), store: standin.NewMetadata(), keys: map[string]string{}}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c, err := startCluster(o)
 	if err != nil {
-		return Report{}, fmt.Errorf("listen for the store: %w", err)
-	}
-	c.storeAddress = l.Addr().String()
-	server := &http.Server{Handler: c.store}
-	go func() { _ = server.Serve(l) }()
-	defer func() { _ = server.Close() }()
-	defer c.close()
-	if err := c.build(); err != nil {
 		return Report{}, err
 	}
+	defer c.close()
 	calling, stopCalling := context.WithCancel(ctx)
 	defer stopCalling()
 	var callers sync.WaitGroup
@@ -118,6 +114,23 @@
 	return report, ctx.Err()
 }
 
+// startCluster starts the stand-ins and the daemons, and waits until all are ready.
+func startCluster(o Options) (*cluster, error) {
+	c := &cluster{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), checker: newChecker(), store: standin.NewMetadata(), keys: map[string]string{}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen for the store: %w", err)
+	}
+	c.storeAddress = l.Addr().String()
+	c.storeServer = &http.Server{Handler: c.store}
+	go func() { _ = c.storeServer.Serve(l) }()
+	if err := c.build(); err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, nil
+}
+
 // build writes the configuration, starts the targets and daemons, and waits until all
 // daemons are ready.
 func (c *cluster) build() error {
@@ -170,6 +183,7 @@
 		_ = t.server.Close()
 		t.proxy.close()
 	}
+	_ = c.storeServer.Close()
 }
 
 // configure writes the configuration with the current keys to the store. It is called
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,13 +29,18 @@
 	os.Exit(m.Run())
 }
 
+// logDirectory returns the directory for the settings and logs of the daemons.
+func logDirectory(t *testing.T) string {
+	if *logs != "" {
+		return *logs
+	}
+	return t.TempDir()
+}
+
 func assertNoViolations(t *testing.T, o Options) {
 	t.Helper()
 	o.Program, o.Environment = []string{os.Args[0], "machine"}, []string{asDaemon + "=1"}
-	o.Directory = t.TempDir()
-	if *logs != "" {
-		o.Directory = *logs
-	}
+	o.Directory = logDirectory(t)
 	r, err := Run(context.Background(), o)
 	qt.Assert(t, err, qt.IsNil)
 	var out bytes.Buffer
--- a/standin/daemon.go
+++ b/standin/daemon.go
@@ -31,6 +31,8 @@
 control_plane = %q
 directory = %q
 [limits]
+cpu_share = %g
+cores = 1
 memory_mb = %d
 [bounds]
 grace_s = %g
@@ -44,7 +46,7 @@
 address = %q
 ttl_min_ms = %d
 `, m.Name, m.IP, m.FailureDomain, strings.Join(seeds, ", "), m.FrontendAddress, m.ReadyAddress, m.LinkAddress, m.DirectoryAddress,
-		m.MemoryMB, m.GraceTime.Seconds(), m.RevokeTime > 0, m.RevokeTime.Milliseconds(), m.RetryRatio, m.RetryWindow.Seconds(), m.RetrySlack,
+		m.Cores, m.MemoryMB, m.GraceTime.Seconds(), m.RevokeTime > 0, m.RevokeTime.Milliseconds(), m.RetryRatio, m.RetryWindow.Seconds(), m.RetrySlack,
 		m.MaxAddressTTL.Seconds(), m.StoreAddress, m.MinLease.Milliseconds())
 }
 
