Divide what an overloaded daemon can handle among the accounts that send to it

What callers saw: while one account floods a daemon, the few requests of another account that come to the same daemon are refused as often as those of the flood.

Cause: an overloaded daemon refused each request with the same probability, before it knew the account. Of the capacities that accounts compete for, only the targets' were divided by max-min fairness; the daemon's own was not.

admission.Shedder counts the requests of each account at this daemon. Of the fraction of all requests that has to be refused, each account bears what exceeds its max-min share. It decides for new connections and for requests on open ones alike.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -87,6 +87,7 @@
 	links      *link.Server
 	conns      *connTracker
 	overload   overloadDetector
+	shedder    admission.Shedder
 	reloadMu   sync.Mutex
 	lastLoaded setting.HostSettings // content of the settings file when last read
 }
@@ -233,7 +234,9 @@
 		TCPListener: l, hasCapacity: d.hasConnCapacity,
 		shedding: func() bool { return d.refusedConnFraction() > 0 },
 		decide: func(data []byte) ([]byte, bool) {
-			return d.handler.DecideUnparsed(data, func(string) bool { return rand.Float64() < d.refusedConnFraction() })
+			return d.handler.DecideUnparsed(data, func(account string) bool {
+				return d.shedder.Refuse(clock.Now(), account, d.refusedConnFraction())
+			})
 		},
 	}, nil
 }
@@ -326,8 +329,8 @@
 
 // requestOverloaded reports whether the request of the account with the context is
 // refused. One that was admitted when its connection was accepted is not decided again.
-func (d *Daemon) requestOverloaded(ctx context.Context, _ string) bool {
-	return !takeAdmission(ctx) && rand.Float64() < d.refusedFraction()
+func (d *Daemon) requestOverloaded(ctx context.Context, account string) bool {
+	return !takeAdmission(ctx) && d.shedder.Refuse(clock.Now(), account, d.refusedFraction())
 }
 
 // hasConnCapacity reports whether another connection of a caller can be accepted.
