Admit accounts above their share only to engines with short queues

Cause: up to a pressure of 0.55 each request was admitted, whatever the account had received. So each account got the same fraction of what it asked for: from 19 to 22 s gopu41 was served 1.8 to 2.2 million tokens a second at a share of 1.2 to 1.4 million, while cufi760 was refused at 0.9 to 1.1 million, below its share.

Ruled out: work that the daemon counts twice. Old figures from the hubs: the rate of an account is known everywhere 0.4 to 0.8 s later.

The pressure up to which an account is admitted now falls below 0.55 in proportion to share / served. Engines with a queue of less than 15 ms admit everything as before, so that no capacity is idle while requests wait.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -27,17 +27,15 @@
 	// waitFactor scales the expected wait until the target begins to answer in the
 	// estimate of the time to the first event.
 	waitFactor = 1.2
-	// minPressure is the pressure up to which all requests are admitted. Pressure is
-	// the expected time to the first event as a multiple of the latency aim. Above
-	// minPressure, accounts that receive their full share are refused. The smaller
-	// the fraction of its share that an account receives, the higher the pressure up
-	// to which its requests are admitted.
-	minPressure = 0.55
+	// sharePressure is the pressure up to which requests of an account are admitted that
+	// receives exactly its share. Pressure is the expected time to the first event as a
+	// multiple of the latency aim.
+	sharePressure = 0.55
 	// idleQueueWait is the wait caused by other requests up to which an engine counts
 	// as idle. An idle engine admits all requests, however long their prompt.
 	idleQueueWait = 15 * time.Millisecond
-	// maxPressure is the pressure up to which requests of an account that receives
-	// nothing are admitted.
+	// maxPressure is the pressure up to which requests of an account are admitted that
+	// receives nothing.
 	maxPressure = 1.7
 )
 
@@ -111,12 +109,10 @@
 	a.asked.add(now, q.Work)
 	firstEvent := firstEventDelay.Seconds() + waitFactor*q.Wait.Seconds()
 	decision := Decision{Admitted: true, Pressure: firstEvent / max(q.Aim.Seconds(), 0.001)}
-	if decision.Pressure > minPressure && q.QueueWait > idleQueueWait {
+	if q.QueueWait > idleQueueWait {
 		decision.Share = c.share(now, others)
 		decision.Served = a.served.decayed(now) + others[q.Account].Served
-		unserved := max(1-decision.Served/decision.Share, 0)
-		pressureLimit := minPressure + (maxPressure-minPressure)*unserved
-		decision.Admitted = decision.Pressure <= pressureLimit && q.Wait <= q.Timeout*2/3
+		decision.Admitted = decision.Pressure <= pressureLimit(decision.Served, decision.Share) && q.Wait <= q.Timeout*2/3
 	}
 	if decision.Admitted {
 		a.served.add(now, q.Work)
@@ -126,6 +122,18 @@
 	return decision
 }
 
+// pressureLimit returns the pressure up to which requests of an account are admitted.
+// It is the higher, the smaller the fraction of its share that the account receives. An
+// account far above its share is admitted only to engines that are nearly idle:
+// otherwise an account that asks for much would get more than others by trying often, as
+// the pressure varies from engine to engine.
+func pressureLimit(served, share float64) float64 {
+	if served >= share {
+		return sharePressure * share / served
+	}
+	return sharePressure + (maxPressure-sharePressure)*(1-served/share)
+}
+
 // Served returns the work per second that the account receives from all daemons.
 func (c *Controller) Served(now clock.Instant, name string) float64 {
 	others := c.PeerRates()
