Admit the first requests of a fleet that has served nothing yet

While nothing has been served, the share and the served rate of an account are zero, and their ratio is not a number, with which every comparison is false: a request that meets a queue (of another interface's callers, or after all daemons have restarted) was refused until one met an idle engine. An account that receives nothing is admitted up to the highest pressure.

TestFirstRequestUnderPressure failed before: not admitted.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -128,6 +128,9 @@
 // otherwise an account that asks for much would get more than others by trying often, as
 // the pressure varies from engine to engine.
 func pressureLimit(served, share float64) float64 {
+	if served <= 0 { // the share is zero too if nothing was served yet
+		return maxPressure
+	}
 	if served >= share {
 		return sharePressure * share / served
 	}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -174,3 +174,11 @@
 		qt.Assert(t, a.Admitted, qt.IsTrue)
 	}
 }
+
+// Guards against the refusal of the first requests of a fleet that has served nothing
+// yet.
+func TestFirstRequestUnderPressure(t *testing.T) {
+	c := &Controller{PeerRates: func() map[string]Rate { return nil }}
+	a := c.Decide(clock.Now(), Request{Account: "a", Work: 100, Wait: 500 * time.Millisecond, QueueWait: 500 * time.Millisecond, Aim: time.Second, Timeout: time.Minute})
+	qt.Assert(t, a.Admitted, qt.IsTrue)
+}
