Choose a target with less processor time

- The names of all daemons were collected into a map and a list for each request, 27 of 209 us and a third of the memory allocated.
They are cached for 100 ms.
- The segments that are assumed to be cached were looked up by name at 48 targets; now the names are hashed once.
- The buffer for a body was allocated twice, because the reader asks for more space to find the end.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -88,6 +88,7 @@
 	conns      *connTracker
 	overload   overloadDetector
 	shedder    admission.Shedder
+	fleetNames nameList
 	reloadMu   sync.Mutex
 	lastLoaded setting.HostSettings // content of the settings file when last read
 }
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"time"
 
 	"rattanline.example/rattanline/clock"
@@ -12,6 +13,9 @@
 	// discoveryTime is how long after its start a daemon discovers the other daemons
 	// before it sends to cold targets.
 	discoveryTime = 1500 * time.Millisecond
+	// daemonsTTL is how long the names of all daemons are cached, since each request
+	// needs them.
+	daemonsTTL = 100 * time.Millisecond
 	// retryBudgetFraction is the fraction of the retry budget that daemons use, because
 	// each daemon counts its own window.
 	retryBudgetFraction = 0.8
@@ -41,13 +45,31 @@
 	return age > pollAge || d.exchange.ShouldPoll() || age > hubPollAge && d.exchange.IsHub()
 }
 
+// nameList is a list of the names of daemons as of updated.
+type nameList struct {
+	mu      sync.Mutex
+	names   []string
+	updated clock.Instant
+}
+
 // daemons returns the names of all daemons that may send to targets, or nil during
-// discoveryTime.
+// discoveryTime. The list may be daemonsTTL old. Callers must not modify it.
 func (d *Daemon) daemons() []string {
 	now := clock.Now()
 	if now.Sub(d.started) < discoveryTime {
 		return nil
 	}
+	l := &d.fleetNames
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.names == nil || now.Sub(l.updated) >= daemonsTTL {
+		l.names, l.updated = d.listDaemons(), now
+	}
+	return l.names
+}
+
+// listDaemons returns the names of this daemon, of those in the store, and of peers.
+func (d *Daemon) listDaemons() []string {
 	names := map[string]bool{d.self.Name: true}
 	for name := range d.mirror.View().Members {
 		names[name] = true
--- a/edge/listener_test.go
+++ b/edge/listener_test.go
@@ -45,7 +45,7 @@
 
 // overloadedDaemon starts a daemon that refuses all new requests until the returned
 // processor is no longer busy.
-func overloadedDaemon(t *testing.T, r *rig, targets ...*targetServer) (*process, *processor) {
+func overloadedDaemon(t testing.TB, r *rig, targets ...*targetServer) (*process, *processor) {
 	t.Helper()
 	p := &processor{began: time.Now()}
 	d := r.startDaemon(&Daemon{ProcessorTime: p.used}, func(m *setting.HostSettings) { m.Cores = 0.2 })
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -55,7 +55,7 @@
 	_ = c.out.control.SetReadDeadline(c.Deadline)
 	var buffer bytes.Buffer
 	if r.ContentLength > 0 {
-		buffer.Grow(int(r.ContentLength))
+		buffer.Grow(int(r.ContentLength) + bytes.MinRead) // ReadFrom asks for MinRead more to find the end
 	}
 	n, err := io.Copy(&buffer, io.LimitReader(r.Body, limit+1))
 	switch {
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -262,8 +262,9 @@
 		return cache
 	}
 	cache.assumed, cache.sent = make([]int, len(usable)), make([]int, len(usable))
+	keys := segmentKeys(q.Demand.Segments)
 	for i, target := range usable {
-		cache.sent[i] = target.segments.cachedTokens(now, q.Demand.Segments)
+		cache.sent[i] = target.segments.cachedTokens(now, q.Demand.Segments, keys)
 		cache.assumed[i] = cache.sent[i]
 	}
 	if len(preferred) > 0 {
--- a/placement/table.go
+++ b/placement/table.go
@@ -133,7 +133,7 @@
 	if target := t.targets[name]; target != nil {
 		target.work.Requests++
 		target.work.Prompt += prompt
-		target.segments.add(clock.Now(), segments)
+		target.segments.add(clock.Now(), segmentKeys(segments))
 	}
 }
 
