Check load reports by the times at which they were asked for

TestLoadReport expected a report 40 ms after a request was sent to be from before it, although nothing limits how long 40 ms of sleep take on a busy host; the report was then right and the test wrong. Reports received less than the lag after the request was sent must not contain it, and reports asked for more than the lag after its first event must. The test repeats until it has seen one of the former. Age and incarnation are checked in each report instead of once.

--- a/standin/target_test.go
+++ b/standin/target_test.go
@@ -177,30 +177,55 @@
 	})
 }
 
+// Guards against load reports that are not as old as they say.
 func TestLoadReport(t *testing.T) {
+	const lag = 80 * time.Millisecond
 	c := qt.New(t)
-	e := newTestEngine(EngineOptions{TargetOptions: TargetOptions{LoadLag: ms(80)}})
+	seenBefore := false
+	for range 20 { // on a busy host the first report may come too late to show anything
+		if seenBefore = checkLoadReports(c, lag); seenBefore {
+			break
+		}
+	}
+	c.Assert(seenBefore, qt.IsTrue)
+}
+
+// checkLoadReports starts one request at an engine whose reports have the lag, and checks
+// the reports until it is contained in them. It reports whether one was received that
+// must not contain it yet.
+func checkLoadReports(c *qt.C, lag time.Duration) (seenBefore bool) {
+	e := newTestEngine(EngineOptions{TargetOptions: TargetOptions{LoadLag: config.Duration(lag)}})
 	url, _ := Start(c, e)
-	getLoad := func() loadReport {
-		r, err := http.Get(url + "/load")
-		c.Assert(err, qt.IsNil)
-		defer func() { _ = r.Body.Close() }()
-		var l loadReport
-		c.Assert(json.NewDecoder(r.Body).Decode(&l), qt.IsNil)
-		return l
+	time.Sleep(lag + lag/4) // until the reports are about a time at which the engine ran
+	before := time.Now()
+	r, err := http.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(`{"stream":true,"max_tokens":20000,"messages":[]}`))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = r.Body.Close() }()
+	_, err = r.Body.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	for running := time.Now(); ; time.Sleep(lag / 20) {
+		asked := time.Now()
+		l := getLoadReport(c, url)
+		c.Assert(l.Age, qt.Equals, lag.Milliseconds())
+		c.Assert(l.Incarnation, qt.Equals, e.Stats().Incarnation)
+		switch {
+		case time.Since(before) < lag:
+			seenBefore = true
+			c.Assert(l.Running, qt.Equals, 0)
+		case asked.Sub(running) > lag:
+			c.Assert(l.Running, qt.Equals, 1)
+			return seenBefore
+		}
 	}
-	time.Sleep(100 * time.Millisecond)
-	go func() {
-		_, _ = http.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(
-			`{"stream":true,"max_tokens":200,"messages":[]}`))
-	}()
-	time.Sleep(40 * time.Millisecond)
-	c.Assert(getLoad().Running, qt.Equals, 0)
-	time.Sleep(80 * time.Millisecond)
-	l := getLoad()
-	c.Assert(l.Running, qt.Equals, 1)
-	c.Assert(l.Age, qt.Equals, int64(80))
-	c.Assert(l.Incarnation, qt.Equals, e.Stats().Incarnation)
+}
+
+func getLoadReport(c *qt.C, url string) loadReport {
+	r, err := http.Get(url + "/load")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = r.Body.Close() }()
+	var l loadReport
+	c.Assert(json.NewDecoder(r.Body).Decode(&l), qt.IsNil)
+	return l
 }
 
 func TestService(t *testing.T) {
