Refuse requests on open connections for a second before a stopping daemon closes them

Cause, by reading: a daemon with no running requests closed its callers' idle connections at once, also those on which a request was on its way; and responses to requests that were running when the stop began left their connections open, so that callers used them again for the next request.

While a daemon stops, each response now closes its connection, and the daemon refuses requests for at least a second before it closes the idle ones. Who sends in this second receives a refusal that says not-run; a connection that was idle throughout can still be closed just as its caller sends.

--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -10,6 +10,11 @@
 // platform is down, the other daemons detect it by the missing heartbeats.
 const leaveTimeout = 2 * time.Second
 
+// lingerTime is the minimum time for which a stopping daemon refuses requests before it
+// closes callers' idle connections. Callers that still use their connections thereby
+// receive a refusal instead of a connection that closes while they send.
+const lingerTime = time.Second
+
 // shutdown leaves the fleet without interrupting requests. It accepts no new
 // requests, refuses the queued ones, waits for the running ones and returns the
 // slots to their owners. Requests that are still running at the stop deadline, or
@@ -19,6 +24,7 @@
 	d.Logger.Info().Msg("shutdown started")
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.StopDeadline)
 	defer cancel()
+	linger := time.After(lingerTime)
 	go func() {
 		select {
 		case <-d.Force:
@@ -38,6 +44,10 @@
 		d.Logger.Error().Str("request", r.RequestID).Str("account", r.Account).Str("service", r.Service).
 			Msg("request interrupted by the end of the shutdown")
 	}
+	select {
+	case <-linger:
+	case <-ctx.Done():
+	}
 	if err := entry.Shutdown(ctx); err != nil {
 		d.Logger.Warn().Err(err).Msg("closing callers' connections that are still in use")
 	}
--- a/frontend/handler.go
+++ b/frontend/handler.go
@@ -107,6 +107,20 @@
 	IdempotencyKeyHeader = "Idempotency-Key"
 )
 
+// refusal returns a refusal while the daemon accepts no new requests, nil otherwise.
+func (h *Handler) refusal() *request.Refusal {
+	if h.Refuse == nil {
+		return nil
+	}
+	return h.Refuse()
+}
+
+// stopping reports whether callers should move to other daemons.
+func (h *Handler) stopping() bool {
+	r := h.refusal()
+	return r != nil && r.Reason == request.Stopping
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// A write deadline persists on the connection, so each response sets its own.
@@ -144,7 +158,7 @@
 		handler: h, out: &responder{writer: w, control: http.NewResponseController(w), writeTimeout: h.writeTimeout()},
 	}
 	c.Handler = c
-	c.out.id, c.out.version = c.ID, h.Configuration.Version
+	c.out.id, c.out.version, c.out.stopping = c.ID, h.Configuration.Version, h.stopping
 	if r.ContentLength != 0 {
 		// The deadline also applies to bodies of refused requests, which the server
 		// discards.
--- a/frontend/intake.go
+++ b/frontend/intake.go
@@ -48,11 +48,8 @@
 		return &request.Refusal{Reason: request.Unauthenticated, Detail: "missing or wrong key"}
 	}
 	c.account, c.Account = account, account.Name
-	if h.Refuse != nil {
-		if refusal := h.Refuse(); refusal != nil {
-			c.out.closing = refusal.Reason == request.Stopping
-			return refusal
-		}
+	if refusal := h.refusal(); refusal != nil {
+		return refusal
 	}
 	if refusal := c.readBody(w, r); refusal != nil {
 		return refusal
--- a/frontend/responder.go
+++ b/frontend/responder.go
@@ -41,6 +41,9 @@
 	version      func() uint64
 	// closing requests that the connection is closed after the response.
 	closing bool
+	// stopping reports whether callers should move to other daemons, in which case the
+	// connection is closed after the response as well.
+	stopping func() bool
 	// detached reports whether the request continues after its caller disconnects.
 	detached bool
 	// record requests that the response is recorded for resends.
@@ -125,7 +128,7 @@
 	}
 	header.Set(OutcomeHeader, string(r.staged.outcome))
 	header.Set(VersionHeader, strconv.FormatUint(r.version(), 10))
-	if r.closing {
+	if r.closing || r.stopping() {
 		header.Set("Connection", "close")
 	}
 	if !r.callerGone {
