Withdraw only what is left of work that no target ran

A withdrawal subtracted the full rate that the work had added, although it had decayed meanwhile: after 0.7 s, the time in which a connection attempt ends, 37% of it too much, taken from the account's other requests. The account then counted as served less than it was.

TestWithdrawLater failed before with 245 of 912 left instead of 667.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -72,6 +72,13 @@
 	m.updated = now
 }
 
+// remove removes work that was added at the given time, as far as it hasn't decayed.
+func (m *meter) remove(now clock.Instant, work float64, added clock.Instant) {
+	left := meter{rate: work / rateDecayTime.Seconds(), updated: added}
+	m.rate = max(m.decayed(now)-left.decayed(now), 0)
+	m.updated = now
+}
+
 func (m *meter) decayed(now clock.Instant) float64 {
 	return m.rate * math.Exp(-now.Sub(m.updated).Seconds()/rateDecayTime.Seconds())
 }
@@ -157,13 +164,13 @@
 	c.account(now, name).served.add(now, work)
 }
 
-// Withdraw removes an admitted request that no target ran from the served work.
-func (c *Controller) Withdraw(now clock.Instant, name string, work float64) {
+// Withdraw removes work that no target ran from the work that was counted as served at
+// the given time.
+func (c *Controller) Withdraw(now clock.Instant, name string, work float64, counted clock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a := c.accounts[name]; a != nil {
-		a.served.rate = max(a.served.decayed(now)-work/rateDecayTime.Seconds(), 0)
-		a.served.updated = now
+		a.served.remove(now, work, counted)
 	}
 }
 
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -149,10 +149,24 @@
 	c := &Controller{PeerRates: func() map[string]Rate { return nil }}
 	now := clock.Now()
 	c.Decide(now, Request{Account: "a", Work: 100, Aim: time.Second, Timeout: time.Minute})
-	c.Withdraw(now, "a", 100)
+	c.Withdraw(now, "a", 100, now)
 	qt.Assert(t, c.Rates(now)["a"].Served, qt.Equals, 0.0)
 }
 
+// Guards against a withdrawal that removes work of other requests as well.
+func TestWithdrawLater(t *testing.T) {
+	c := &Controller{PeerRates: func() map[string]Rate { return nil }}
+	now := clock.Instant(time.Hour)
+	c.Count(now, "a", 1000)
+	later := now.Add(rateDecayTime)
+	c.Count(later, "a", 1000)
+	before := c.Rates(later)["a"].Served
+	c.Withdraw(later, "a", 1000, now)
+	left := c.Rates(later)["a"].Served
+	want := 1000 / rateDecayTime.Seconds()
+	qt.Assert(t, math.Abs(left-want) <= 1, qt.IsTrue, qt.Commentf("%.0f of %.0f left, not %.0f", left, before, want))
+}
+
 // BenchmarkDecide measures a decision under pressure with 980 accounts.
 func BenchmarkDecide(b *testing.B) {
 	others := map[string]Rate{}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -63,8 +63,8 @@
 	switch {
 	case !query.Engine:
 	case job.Retry: // it was admitted before
-		a.admitted = true
-		s.Admission.Count(clock.Now(), job.Account, job.Demand.Work())
+		a.admitted, a.admittedAt = true, clock.Now()
+		s.Admission.Count(a.admittedAt, job.Account, job.Demand.Work())
 	default:
 		if err := a.admit(); err != nil {
 			return nil, err
@@ -80,14 +80,17 @@
 	job       port.Job
 	choice    Choice
 	basis     port.Basis
-	admitted  bool
+	// admitted reports whether the work of the job counts as served, since admittedAt.
+	admitted   bool
+	admittedAt clock.Instant
 	// responseStarted reports whether ResponseStarted was called.
 	responseStarted bool
 }
 
 // admit requests admission of the job, and returns the refusal if it is denied.
 func (a *assignment) admit() error {
-	decision := a.scheduler.Admission.Decide(clock.Now(), admission.Request{
+	a.admittedAt = clock.Now()
+	decision := a.scheduler.Admission.Decide(a.admittedAt, admission.Request{
 		Account: a.job.Account, Work: a.job.Demand.Work(), QueueWait: a.choice.QueueWait, Wait: a.choice.Wait,
 		Aim: a.job.LatencyAim, Timeout: time.Until(a.job.Deadline),
 	})
@@ -130,7 +133,7 @@
 	switch t.Result {
 	case port.NotSent, port.Overloaded, port.Unreachable, port.Misdirected:
 		if a.admitted {
-			a.scheduler.Admission.Withdraw(clock.Now(), a.job.Account, a.job.Demand.Work())
+			a.scheduler.Admission.Withdraw(clock.Now(), a.job.Account, a.job.Demand.Work(), a.admittedAt)
 		}
 	case port.Succeeded, port.Failed, port.Crashed, port.Canceled:
 	}
