--- a/edge/listener.go
+++ b/edge/listener.go
@@ -16,9 +16,9 @@
 	acceptPollInterval = 5 * time.Millisecond
 	// maxPeekBytes is how much of a request is read to refuse it unparsed.
 	maxPeekBytes = 64 << 10
-	// refusalsPerYield is the number of connections refused in a row after which other
-	// goroutines run.
-	refusalsPerYield = 16
+	// maxAcceptTime is how long connections are accepted in a row before other goroutines
+	// run. All that are ready run then, and new connections wait meanwhile.
+	maxAcceptTime = 10 * time.Millisecond
 	// deferAcceptSeconds is how long a connection on which nothing was received may stay
 	// in the kernel before it is accepted.
 	deferAcceptSeconds = 1
@@ -36,7 +36,10 @@
 	// response if the request is refused.
 	decide func(data []byte) (response []byte, decided bool)
 
-	buffer [maxPeekBytes]byte // used only by Accept, which http.Server calls from one goroutine
+	// The following fields are used only by Accept, which http.Server calls from one
+	// goroutine.
+	buffer    [maxPeekBytes]byte
+	yieldedAt time.Time
 }
 
 // listenDeferred listens on the address for connections that the kernel holds back until
@@ -68,9 +71,10 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	for refused := 0; ; refused++ {
-		if refused%refusalsPerYield == refusalsPerYield-1 {
+	for {
+		if time.Since(l.yieldedAt) > maxAcceptTime {
 			runtime.Gosched()
+			l.yieldedAt = time.Now()
 		}
 		conn, err := l.AcceptTCP()
 		if err != nil {
