--- /dev/null
+++ b/edge/build.go
@@ -0,0 +1,106 @@
+package edge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"rattanline.example/rattanline/admission"
+	"rattanline.example/rattanline/clock"
+	"rattanline.example/rattanline/exchange"
+	"rattanline.example/rattanline/gateway"
+	"rattanline.example/rattanline/link"
+	"rattanline.example/rattanline/mirror"
+	"rattanline.example/rattanline/placement"
+	"rattanline.example/rattanline/platform"
+	"rattanline.example/rattanline/quarantine"
+	"rattanline.example/rattanline/relay"
+	"rattanline.example/rattanline/routing"
+	"rattanline.example/rattanline/upstream"
+)
+
+const (
+	// keyAgeMargin is subtracted from the time after which a removed key must no
+	// longer be used: polls of the store may return changes up to a second late, and
+	// a request takes some time to reach its target.
+	keyAgeMargin = 1800 * time.Millisecond
+	// bufferedMemoryDivisor limits the buffered bodies to 1/4 of HostSettings.MemoryMB.
+	bufferedMemoryDivisor = 4
+)
+
+// build creates the components and connects them.
+func (d *Daemon) build() error {
+	d.started = clock.Now()
+	if d.Store == nil {
+		d.Store = platform.NewStore(d.Settings.StoreAddress)
+	}
+	d.quarantine = &quarantine.Registry{}
+	d.buildOverload()
+	d.buildFleet()
+	d.buildTargets()
+	d.buildHandler()
+	d.links = &link.Server{Address: d.Settings.LinkAddress, Logger: d.Logger}
+	return d.links.Register(exchange.Service, d.exchange.Receiver())
+}
+
+func (d *Daemon) buildOverload() {
+	used := d.ProcessorTime
+	if used == nil {
+		used = processorTime
+	}
+	d.overload = overloadDetector{cores: d.Settings.Cores, processorTime: used}
+	d.conns = &connTracker{idleTimeout: d.idleTimeout, headerTimeout: d.headerTimeout}
+}
+
+// buildFleet creates what this daemon shares with the others: the mirror of the store
+// and the exchange.
+func (d *Daemon) buildFleet() {
+	s := d.Settings
+	d.self = mirror.Member{
+		Name: s.Name, Link: s.LinkAddress, Frontend: s.FrontendAddress, Domain: s.FailureDomain,
+		Incarnation: fmt.Sprintf("%08x", rand.Uint32()), Cores: s.Cores,
+	}
+	d.mirror = &mirror.Mirror{
+		Poller: d.Store, Decode: platform.Decode, DecodeRemoval: platform.DecodeRemoval,
+		Changed: d.viewChanged, Polling: d.shouldPoll, Logger: d.Logger,
+	}
+	d.exchange = &exchange.Exchange{
+		Self: d.self, Link: &link.Client{}, Mirror: d.mirror, Marks: d.quarantine, Seeds: s.Seeds,
+		Status: func() (bool, bool) { return d.ready(), d.leaving.Load() }, Report: d.report,
+		Polling: d.shouldPoll, Connected: d.mirror.Connected, Logger: d.Logger,
+	}
+}
+
+// buildTargets creates what decides where requests are sent, and the connections there.
+func (d *Daemon) buildTargets() {
+	d.table = &placement.Table{
+		Self: d.self.Name, Domain: d.self.Domain, Daemons: d.daemons,
+		PeerWork: func() map[string]placement.Work { return d.exchange.Totals().Targets },
+		ColdRate: d.coldRate, MaxConnections: d.maxConnections,
+	}
+	d.admission = &admission.Controller{
+		PeerRates: func() map[string]admission.Rate { return d.exchange.Totals().Accounts },
+	}
+	d.pool = &upstream.Pool{OnOpen: openedConnections.Inc}
+	metrics.GetOrCreateGauge("rattanline_target_connections_open", func() float64 { return float64(d.pool.Open()) })
+}
+
+// buildHandler creates the handler of callers' requests.
+func (d *Daemon) buildHandler() {
+	s := d.Settings
+	forwarder := &relay.Forwarder{
+		Scheduler:  &placement.Scheduler{Table: d.table, Admission: d.admission, Engine: d.servesModel},
+		Quarantine: d.quarantine, ConfirmCrash: relay.RefusesConnections, OnMarked: d.exchange.Announce,
+		Retries: &routing.Budget{Window: s.RetryWindow, Ratio: s.RetryRatio * retryBudgetFraction, Slack: d.retrySlack},
+		Logger:  d.Logger,
+	}
+	d.handler = &gateway.Handler{
+		Protocol: platform.Wire{}, View: d.mirror.View, ConfigurationAge: d.mirrorAge, OnLoad: d.table.SetLoad,
+		Forwarder: forwarder, Pool: d.pool, MaxKeyAge: max(s.RevokeTime-keyAgeMargin, 0), Leaving: d.leaving.Load,
+		Overloaded: d.requestOverloaded, CloseConnections: d.tooManyConns, CallerGone: d.conns.callerGone,
+		EventBatchDelay: func() time.Duration { return d.overload.batchDelay(s.DeliveryDelay) },
+		MaxBuffered:     int64(s.MemoryMB) << 20 / bufferedMemoryDivisor,
+	}
+}
--- /dev/null
+++ b/edge/server.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"rattanline.example/rattanline/clock"
+	"rattanline.example/rattanline/platform"
+)
+
+// maxHeaderBytes limits request headers before the configured limit is applied.
+const maxHeaderBytes = 64 << 10
+
+type server struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+// listen opens the listeners. The frontend, which serves callers, is the first.
+func (d *Daemon) listen() ([]server, error) {
+	s := d.Settings
+	handlers := []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"frontend", s.FrontendAddress, d.conns.stopHeaderTimer(d.handler)},
+		{"ready", s.ReadyAddress, platform.ReadyHandler(d.ready)},
+		{"directory", s.DirectoryAddress, platform.ResolveHandler(d.resolve)},
+		{"metrics", d.MetricsAddress, metricsHandler()},
+	}
+	var servers []server
+	for _, h := range handlers {
+		if h.address == "" {
+			continue
+		}
+		hs := &http.Server{
+			Handler: h.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: maxHeaderTimeout,
+		}
+		listen := func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+		if h.name == "frontend" {
+			hs.ConnState, hs.ConnContext = d.conns.stateChanged, d.conns.connContext
+			listen = d.listenCallers
+		}
+		l, err := listen(h.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen for %s: %w", h.name, err)
+		}
+		servers = append(servers, server{h.name, hs, l})
+	}
+	return servers, nil
+}
+
+// listenCallers opens the listener of the frontend.
+func (d *Daemon) listenCallers(address string) (net.Listener, error) {
+	l, err := listenDeferred(address)
+	if err != nil {
+		return nil, err
+	}
+	return &callerListener{
+		TCPListener: l, hasCapacity: d.hasConnCapacity,
+		shedding: func() bool { return d.refusedConnFraction() > 0 },
+		decide: func(data []byte) ([]byte, bool) {
+			return d.handler.DecideUnparsed(data, func(account string) bool {
+				return d.shedder.Refuse(clock.Now(), account, d.refusedConnFraction())
+			})
+		},
+	}, nil
+}
+
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return mux
+}
--- /dev/null
+++ b/edge/view.go
@@ -0,0 +1,43 @@
+package edge
+
+import "rattanline.example/rattanline/mirror"
+
+// viewChanged applies a new view of the store and logs the changed records.
+func (d *Daemon) viewChanged(v *mirror.View, records []mirror.Record) {
+	d.table.Update(v)
+	for _, r := range records {
+		e := d.Logger.Info().Int64("revision", v.Revision)
+		d.announceIfUrgent(r, v)
+		switch r := r.(type) {
+		case mirror.Configuration:
+			e.Uint64("config", r.Document.Version).Int("routes", len(r.Document.Routes)).Msg("configuration in force")
+		case mirror.Evacuation:
+			e.Str("failure-domain", r.Domain).Bool("evacuated", v.Evacuated[r.Domain]).Msg("evacuation changed")
+		case mirror.Target:
+			t := v.Targets[r.Name]
+			e.Str("target", r.Name).Str("service", t.Service).Str("address", t.Address).Bool("leaving", t.Leaving).
+				Bool("removed", t.Removed != 0).Dur("cold", t.Cold).Int64("born", t.StartTime).Msg("target changed")
+		case mirror.Member:
+			_, present := v.Members[r.Name]
+			e.Str("peer", r.Name).Bool("present", present).Msg("member changed")
+		}
+	}
+}
+
+// announceIfUrgent starts a round of the exchange if this daemon is a hub and the
+// changed record must reach the other daemons soon: they may not have read it
+// themselves.
+func (d *Daemon) announceIfUrgent(r mirror.Record, v *mirror.View) {
+	switch r := r.(type) {
+	case mirror.Configuration, mirror.Evacuation:
+	case mirror.Target:
+		if t := v.Targets[r.Name]; !t.Leaving && t.Removed == 0 {
+			return
+		}
+	case mirror.Member:
+		return
+	}
+	if d.exchange.IsHub() {
+		d.exchange.Announce()
+	}
+}
