--- a/gateway/call.go
+++ b/gateway/call.go
@@ -41,6 +41,10 @@
 	// numbers, so that they can't reveal a gap.
 	sparseIDs   bool
 	firstByteAt time.Time
+	// eventAt is when the last event was received from a target, longestPause the longest time
+	// between two events.
+	eventAt      time.Time
+	longestPause time.Duration
 }
 
 var _ relay.CallHandler = (*call)(nil)
@@ -207,4 +211,16 @@
 	if !c.firstByteAt.IsZero() {
 		e.Dur("first", c.firstByteAt.Sub(c.Arrived))
 	}
+	if c.longestPause > 0 {
+		e.Dur("longest-pause", c.longestPause)
+	}
+}
+
+// recordEvent records that an event of a stream was received.
+func (c *call) recordEvent(now time.Time) {
+	if !c.eventAt.IsZero() {
+		c.longestPause = max(c.longestPause, now.Sub(c.eventAt))
+	}
+	c.eventAt = now
+	c.RecordEvent()
 }
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -55,3 +55,14 @@
 type withdrawn struct{ port.Assignment }
 
 func (withdrawn) Usable() bool { return false }
+
+// Guards against logs that don't show which streams paused, and for how long.
+func TestLongestPause(t *testing.T) {
+	one := &call{}
+	(&relay.Forwarder{}).Begin(&one.Call)
+	start := time.Now()
+	for _, at := range []time.Duration{0, 30, 530, 600} {
+		one.recordEvent(start.Add(at * time.Millisecond))
+	}
+	qt.Assert(t, one.longestPause, qt.Equals, 500*time.Millisecond)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -140,7 +140,7 @@
 			}
 			return brokenResult(err)
 		}
-		c.RecordEvent()
+		c.recordEvent(time.Now())
 		if first {
 			onFirst()
 		}
