Learn what engines do, and admit, refuse and place by it

Causes, each with a test that failed before: - The speed of engines (38,000 tokens a second) and 100 ms for the rest were constants, the figures of another deployment; these engines take 0.6 of that. Both are learned from responses now (TestSpeedIsLearned). - Engines of one service differ in speed: the mean time between events was 47 ms at the fastest and 102 ms at the slowest, where 0.38 of the streams paused, and all got the same requests. The pace of streams is measured now and counts in the choice (TestSlowStreamsRepelRequests). - A prompt of 32,000 tokens and more made 0.9 of the streams beside it pause. Prompts are charged for the streams that they may make late (TestLongPromptAvoidsStreams, TestPausesLimitAdmission). - The mean queue of all engines decided whether an account above its share is refused. One engine with a very long prompt raised it while the others were idle. The median decides now (TestLongPromptsAreNoQueueElsewhere, TestLoadWithinCapacityIsServed: 0.18 of the hot account refused at two fifths of the load before). TestSharesAcrossEngines states the median too; its bounds are unchanged. - The share was computed from what is served, which is little after a restart; it is now at least that of the declared capacity (TestDeclaredCapacityIsServedAtOnce).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -20,13 +20,12 @@
 	shareRefreshInterval = 50 * time.Millisecond
 	// accountRetention is how long an account is kept after its last request.
 	accountRetention = 15 * time.Second
-	// firstEventDelay is added to the scaled wait to estimate the time to the first
-	// event of the response: engine steps and output tokens come on top of the
-	// processing of prompts.
-	firstEventDelay = 100 * time.Millisecond
 	// waitFactor scales the expected wait until the target begins to answer in the
 	// estimate of the time to the first event.
 	waitFactor = 1.2
+	// pauseFactor scales the wait in the queue of an engine in the estimate of how long the
+	// streams there pause.
+	pauseFactor = 2.0
 	// sharePressure is the pressure up to which requests of an account are admitted that
 	// receives exactly its share. Pressure is the expected time to the first event as a
 	// multiple of the latency aim.
@@ -34,13 +33,13 @@
 	// idleQueueWait is the wait caused by other requests up to which an engine counts
 	// as idle. An idle engine admits all requests, however long their prompt.
 	idleQueueWait = 15 * time.Millisecond
-	// busyPrompts is the mean number of prompts in the queues of all engines at which an
+	// busyPrompts is the median number of prompts in the queues of all engines at which an
 	// account gets no more than its share. At half of it an account gets up to twice its
 	// share. What is known of a single engine is old, so that a busy one may seem to be
-	// idle; the mean changes slowly.
-	busyPrompts = 3.5
+	// idle; the median changes slowly.
+	busyPrompts = 2.5
 	// minBusyQueueWait is the shortest wait for busyPrompts.
-	minBusyQueueWait = 100 * time.Millisecond
+	minBusyQueueWait = 75 * time.Millisecond
 	// promptTimeWeight is the weight of the newest request in the mean time of a prompt.
 	promptTimeWeight = 0.02
 	// maxPressure is the pressure up to which requests of an account are admitted that
@@ -57,6 +56,9 @@
 type Controller struct {
 	// PeerRates returns the sum of the rates of the other daemons, by account name.
 	PeerRates func() map[string]Rate
+	// Capacity returns the work per second that the targets of the fleet are declared to do,
+	// zero if it isn't known. A nil function means zero.
+	Capacity func() float64
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -102,8 +104,13 @@
 	// the portion of it that other requests cause. Aim is the latency aim: the time
 	// within which the answer has its full value. Timeout is the remaining time.
 	Wait, QueueWait, Aim, Timeout time.Duration
-	// MeanQueueWait is the mean QueueWait of all targets of the service.
-	MeanQueueWait time.Duration
+	// MedianQueueWait is the median QueueWait of all targets of the service.
+	MedianQueueWait time.Duration
+	// StartDelay is the time to the first event of the response that comes on top of Wait.
+	StartDelay time.Duration
+	// PauseAim is the longest time between two events with which a stream has its full value,
+	// zero if there is none.
+	PauseAim time.Duration
 	// Again states that the request was counted before, and refused at another target.
 	Again bool
 }
@@ -133,8 +140,8 @@
 		c.countPrompt(q)
 	}
 	busy := max(time.Duration(busyPrompts*float64(c.promptTime)), minBusyQueueWait)
-	decision := Decision{Admitted: true, Pressure: pressure(q.Wait, q.Aim)}
-	if q.QueueWait > idleQueueWait || q.MeanQueueWait > idleQueueWait {
+	decision := Decision{Admitted: true, Pressure: q.pressure(q.Wait)}
+	if q.QueueWait > idleQueueWait || q.MedianQueueWait > idleQueueWait {
 		decision.Share = c.share(now, others)
 		decision.Served = a.served.decayed(now) + others[q.Account].Served
 		decision.Admitted = decision.admits(q, busy)
@@ -147,9 +154,14 @@
 	return decision
 }
 
-// pressure returns the expected time to the first event as a multiple of the latency aim.
-func pressure(wait, aim time.Duration) float64 {
-	return (firstEventDelay.Seconds() + waitFactor*wait.Seconds()) / max(aim.Seconds(), 0.001)
+// pressure returns the expected time to the first event after the wait as a multiple of the
+// latency aim.
+func (q Request) pressure(wait time.Duration) float64 {
+	p := (q.StartDelay.Seconds() + waitFactor*wait.Seconds()) / max(q.Aim.Seconds(), 0.001)
+	if q.PauseAim > 0 {
+		p = max(p, pauseFactor*q.QueueWait.Seconds()/q.PauseAim.Seconds())
+	}
+	return p
 }
 
 // countPrompt counts the request towards the mean time of a prompt.
@@ -162,15 +174,15 @@
 }
 
 // admits reports whether the request of an account with the served work and the share is
-// admitted, given the mean wait in the queues of all engines from which on they are busy.
+// admitted, given the median wait in the queues of all engines from which on they are busy.
 func (d Decision) admits(q Request, busy time.Duration) bool {
 	if q.Wait > q.Timeout*2/3 && q.QueueWait > idleQueueWait {
 		return false
 	}
 	if d.Served < d.Share { // the length of its own prompt is no reason to refuse it
-		return pressure(q.QueueWait, q.Aim) <= pressureLimit(d.Served, d.Share)
+		return q.pressure(q.QueueWait) <= pressureLimit(d.Served, d.Share)
 	}
-	if excess := max(float64(busy)/float64(q.MeanQueueWait), 1); d.Served > excess*d.Share {
+	if excess := max(float64(busy)/float64(q.MedianQueueWait), 1); d.Served > excess*d.Share {
 		return false
 	}
 	return q.QueueWait <= idleQueueWait || d.Pressure <= pressureLimit(d.Served, d.Share)
@@ -234,8 +246,9 @@
 	return a
 }
 
-// share returns the max-min fair share of each account in the work that the fleet
-// currently serves, in work per second.
+// share returns the max-min fair share of each account, in work per second, in what the fleet
+// currently serves or, if that is more, in what it is declared to serve: after a pause, such as
+// the restart of all daemons, little is served until requests are admitted.
 func (c *Controller) share(now clock.Instant, others map[string]Rate) float64 {
 	if now.Sub(c.shareComputed) < shareRefreshInterval {
 		return c.lastShare
@@ -259,7 +272,15 @@
 			total += o.Served
 		}
 	}
-	return MaxMinShare(asked, total)
+	return MaxMinShare(asked, max(total, c.capacity()))
+}
+
+// capacity returns the declared work per second of all targets, zero if it isn't known.
+func (c *Controller) capacity() float64 {
+	if c.Capacity == nil {
+		return 0
+	}
+	return c.Capacity()
 }
 
 // MaxMinShare returns the max-min fair share: the level at which the demands, each
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -13,6 +13,9 @@
 	"rattanline.example/rattanline/clock"
 )
 
+// startDelay is the time to the first event without any wait in these tests.
+const startDelay = 100 * time.Millisecond
+
 // Guards against a share that distributes more or less than the capacity.
 func TestMaxMinShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -87,7 +90,7 @@
 				}
 				requested[name] += work / span.Seconds()
 				wait := time.Duration(f.backlog / f.rate * float64(time.Second))
-				a := f.daemons[random.IntN(len(f.daemons))].Decide(at, Request{Account: name, Work: work, Wait: wait, QueueWait: wait, MeanQueueWait: wait, Aim: 600 * time.Millisecond, Timeout: 5 * time.Second})
+				a := f.daemons[random.IntN(len(f.daemons))].Decide(at, Request{Account: name, Work: work, Wait: wait, QueueWait: wait, MedianQueueWait: wait, StartDelay: startDelay, Aim: 600 * time.Millisecond, Timeout: 5 * time.Second})
 				if a.Admitted {
 					f.backlog += work
 					served[name] += work / span.Seconds()
@@ -139,7 +142,7 @@
 // Guards against a refusal without a retry delay.
 func TestRetryAfter(t *testing.T) {
 	c := &Controller{PeerRates: func() map[string]Rate { return nil }}
-	a := c.Decide(clock.Now(), Request{Account: "a", Work: 100, Wait: 3 * time.Second, QueueWait: 3 * time.Second, Aim: time.Second, Timeout: time.Minute})
+	a := c.Decide(clock.Now(), Request{Account: "a", Work: 100, Wait: 3 * time.Second, QueueWait: 3 * time.Second, StartDelay: startDelay, Aim: time.Second, Timeout: time.Minute})
 	qt.Assert(t, a.Admitted, qt.IsFalse)
 	qt.Assert(t, a.RetryAfter > 0, qt.IsTrue)
 }
@@ -148,7 +151,7 @@
 func TestWithdraw(t *testing.T) {
 	c := &Controller{PeerRates: func() map[string]Rate { return nil }}
 	now := clock.Now()
-	c.Decide(now, Request{Account: "a", Work: 100, Aim: time.Second, Timeout: time.Minute})
+	c.Decide(now, Request{Account: "a", Work: 100, StartDelay: startDelay, Aim: time.Second, Timeout: time.Minute})
 	c.Withdraw(now, "a", 100, now)
 	qt.Assert(t, c.Rates(now)["a"].Served, qt.Equals, 0.0)
 }
@@ -176,7 +179,7 @@
 	c := &Controller{PeerRates: func() map[string]Rate { return others }}
 	b.ReportAllocs()
 	for b.Loop() {
-		c.Decide(clock.Now(), Request{Account: "account-7", Work: 100, Wait: 700 * time.Millisecond, QueueWait: 700 * time.Millisecond, Aim: time.Second, Timeout: time.Minute})
+		c.Decide(clock.Now(), Request{Account: "account-7", Work: 100, Wait: 700 * time.Millisecond, QueueWait: 700 * time.Millisecond, StartDelay: startDelay, Aim: time.Second, Timeout: time.Minute})
 	}
 }
 
@@ -185,7 +188,7 @@
 func TestLongPrompt(t *testing.T) {
 	c := &Controller{PeerRates: func() map[string]Rate { return nil }}
 	for range 20 {
-		a := c.Decide(clock.Now(), Request{Account: "a", Work: 9000, Wait: 900 * time.Millisecond, Aim: time.Second, Timeout: 5 * time.Second})
+		a := c.Decide(clock.Now(), Request{Account: "a", Work: 9000, Wait: 900 * time.Millisecond, StartDelay: startDelay, Aim: time.Second, Timeout: 5 * time.Second})
 		qt.Assert(t, a.Admitted, qt.IsTrue)
 	}
 }
@@ -194,7 +197,7 @@
 // yet.
 func TestFirstRequestUnderPressure(t *testing.T) {
 	c := &Controller{PeerRates: func() map[string]Rate { return nil }}
-	a := c.Decide(clock.Now(), Request{Account: "a", Work: 100, Wait: 500 * time.Millisecond, QueueWait: 500 * time.Millisecond, Aim: time.Second, Timeout: time.Minute})
+	a := c.Decide(clock.Now(), Request{Account: "a", Work: 100, Wait: 500 * time.Millisecond, QueueWait: 500 * time.Millisecond, StartDelay: startDelay, Aim: time.Second, Timeout: time.Minute})
 	qt.Assert(t, a.Admitted, qt.IsTrue)
 }
 
@@ -203,11 +206,11 @@
 // while the fleet is busy.
 func TestShareDecidesWhileBusy(t *testing.T) {
 	const second = time.Second
-	busy := Request{Work: 9000, Wait: second, QueueWait: 50 * time.Millisecond, MeanQueueWait: 4 * second, Aim: 800 * time.Millisecond, Timeout: 5 * second}
+	busy := Request{Work: 9000, Wait: second, StartDelay: startDelay, QueueWait: 50 * time.Millisecond, MedianQueueWait: 4 * second, Aim: 800 * time.Millisecond, Timeout: 5 * second}
 	idle := busy
 	idle.Wait, idle.QueueWait = 100*time.Millisecond, 0
 	quiet := idle
-	quiet.MeanQueueWait = idleQueueWait
+	quiet.MedianQueueWait = idleQueueWait
 	for name, c := range map[string]struct {
 		account string
 		request Request
@@ -225,3 +228,46 @@
 		})
 	}
 }
+
+// Guards against accounts that are refused after a restart of all daemons, or on their first
+// requests, because little was served until then.
+func TestDeclaredCapacityIsServedAtOnce(t *testing.T) {
+	ask := func(capacity float64) (admitted int) {
+		now := clock.Now()
+		c := &Controller{
+			PeerRates: func() map[string]Rate { return map[string]Rate{"other": {Asked: 10_000, Served: 10_000}} },
+			Capacity:  func() float64 { return capacity },
+		}
+		for i := range 20 {
+			d := c.Decide(now.Add(time.Duration(i)*10*time.Millisecond), Request{
+				Account: "a", Work: 2000, Wait: 160 * time.Millisecond, QueueWait: 100 * time.Millisecond, MedianQueueWait: 100 * time.Millisecond,
+				Aim: 400 * time.Millisecond, Timeout: 5 * time.Second,
+			})
+			if d.Admitted {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	qt.Check(t, ask(300_000), qt.Equals, 20)
+	qt.Check(t, ask(0) < 20, qt.IsTrue)
+}
+
+// Guards against an account above its share that is admitted to engines whose streams pause too
+// long, as the first events still come in time.
+func TestPausesLimitAdmission(t *testing.T) {
+	now := clock.Now()
+	decide := func(pauseAim time.Duration) bool {
+		c := &Controller{PeerRates: func() map[string]Rate {
+			return map[string]Rate{"a": {Asked: 300_000, Served: 100_000}, "b": {Asked: 300_000, Served: 100_000}}
+		}}
+		c.Count(now, "a", 10_000)
+		return c.Decide(now, Request{
+			Account: "a", Work: 100, Wait: 200 * time.Millisecond, QueueWait: 200 * time.Millisecond, MedianQueueWait: 20 * time.Millisecond,
+			Aim: 2 * time.Second, PauseAim: pauseAim, Timeout: 10 * time.Second,
+		}).Admitted
+	}
+	qt.Check(t, decide(0), qt.IsTrue)
+	qt.Check(t, decide(2*time.Second), qt.IsTrue)
+	qt.Check(t, decide(400*time.Millisecond), qt.IsFalse)
+}
--- a/admission/targets_test.go
+++ b/admission/targets_test.go
@@ -33,7 +33,7 @@
 		for i := range e.backlogs {
 			e.backlogs[i] = max(e.backlogs[i]-rate*step.Seconds(), 0)
 		}
-		mean := e.report()
+		median := e.report()
 		for name, want := range asked {
 			for due := want * step.Seconds(); due > 0; {
 				work := min(1700*math.Exp(1.2*random.NormFloat64()), 39_000) // most prompts are short
@@ -44,8 +44,8 @@
 				requested[name] += work / span.Seconds()
 				i, queued := e.choose(random)
 				d := e.daemons[random.IntN(len(e.daemons))].Decide(at, Request{
-					Account: name, Work: work, MeanQueueWait: mean, QueueWait: queued, Wait: queued + time.Duration(work/rate*float64(time.Second)),
-					Aim: 600 * time.Millisecond, Timeout: 5 * time.Second,
+					Account: name, Work: work, MedianQueueWait: median, QueueWait: queued, Wait: queued + time.Duration(work/rate*float64(time.Second)),
+					StartDelay: startDelay, Aim: 600 * time.Millisecond, Timeout: 5 * time.Second,
 				})
 				if d.Admitted {
 					e.backlogs[i] += work
@@ -57,18 +57,16 @@
 	return served, requested
 }
 
-// report returns the mean wait at all engines, and replaces the oldest report.
+// report returns the median wait at all engines, and replaces the oldest report.
 func (e *engines) report() time.Duration {
 	known := e.backlogs
 	if len(e.reports) > 0 {
 		known = e.reports[0]
 		e.reports = append(e.reports[1:], slices.Clone(e.backlogs))
 	}
-	sum := 0.0
-	for _, b := range known {
-		sum += b
-	}
-	return time.Duration(sum / e.rate * float64(time.Second))
+	sorted := slices.Sorted(slices.Values(known))
+	median := sorted[len(sorted)/2]
+	return time.Duration(median * float64(len(known)) / e.rate * float64(time.Second))
 }
 
 // choose returns an engine and the expected wait in its queue.
--- a/config/route.go
+++ b/config/route.go
@@ -23,6 +23,9 @@
 	// LatencyAim is the latency objective: the time to the response, or to the first
 	// event of a stream, within which a response has its full value.
 	LatencyAim Duration `yaml:"latency-aim,omitempty" json:"latency-aim,omitempty"`
+	// PauseAim is the longest time between two events of a stream with which the response has
+	// its full value.
+	PauseAim Duration `yaml:"pause-aim,omitempty" json:"pause-aim,omitempty"`
 	// Priority orders the requests that wait for a target; those with zero go first.
 	Priority    int `yaml:"priority,omitempty" json:"priority,omitempty"`
 	MaxAttempts int `yaml:"max-attempts" json:"max-attempts"`
--- a/edge/build.go
+++ b/edge/build.go
@@ -97,6 +97,7 @@
 	}
 	d.admission = &admission.Controller{
 		PeerRates: func() map[string]admission.Rate { return d.exchange.Totals().Accounts },
+		Capacity:  func() float64 { return d.limits().TokenRate },
 	}
 	d.pool = &upstream.Pool{OnOpen: openedConnections.Inc}
 	metrics.GetOrCreateGauge("rattanline_target_connections_open", func() float64 { return float64(d.pool.Open()) })
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -41,9 +41,9 @@
 	// numbers, so that they can't reveal a gap.
 	sparseIDs   bool
 	firstByteAt time.Time
-	// eventAt is when the last event was received from a target, longestPause the longest time
-	// between two events.
-	eventAt      time.Time
+	// events measures the events of the current attempt. longestPause is the longest time
+	// between two events that the caller received.
+	events       eventTimes
 	longestPause time.Duration
 }
 
@@ -54,7 +54,7 @@
 	return port.Job{
 		RequestID: c.ID, Account: c.Account, Service: c.Service, Urgent: c.urgent, Deadline: c.Deadline,
 		Cost: c.demand.Work(), Bytes: int64(len(c.body)), Fingerprint: c.Fingerprint,
-		LatencyAim: c.routed.LatencyAim.Std(), Demand: c.demand,
+		LatencyAim: c.routed.LatencyAim.Std(), PauseAim: c.routed.PauseAim.Std(), Demand: c.demand,
 	}
 }
 
@@ -95,6 +95,7 @@
 	c.Wrote()
 	c.Apply(request.Answer{Status: reply.StatusCode})
 	var first time.Time
+	c.events = eventTimes{}
 	result := c.forward(reply, answer, func() {
 		first = time.Now()
 		if c.firstByteAt.IsZero() {
@@ -106,6 +107,7 @@
 		result.FirstByte = first.Sub(c.SentAt)
 	}
 	result.Written, result.Committed = true, c.out.committed
+	result.EventInterval = c.events.interval()
 	if ctx.Err() != nil && !result.Complete {
 		result.Result = port.Canceled
 	}
@@ -212,15 +214,6 @@
 		e.Dur("first", c.firstByteAt.Sub(c.Arrived))
 	}
 	if c.longestPause > 0 {
-		e.Dur("longest-pause", c.longestPause)
+		e.Dur("longest-pause", c.longestPause).Dur("event-interval", c.events.interval())
 	}
 }
-
-// recordEvent records that an event of a stream was received.
-func (c *call) recordEvent(now time.Time) {
-	if !c.eventAt.IsZero() {
-		c.longestPause = max(c.longestPause, now.Sub(c.eventAt))
-	}
-	c.eventAt = now
-	c.RecordEvent()
-}
--- a/gateway/call_test.go
+++ b/gateway/call_test.go
@@ -66,3 +66,14 @@
 	}
 	qt.Assert(t, one.longestPause, qt.Equals, 500*time.Millisecond)
 }
+
+// Guards against a speed of a target that is taken from too few events.
+func TestEventInterval(t *testing.T) {
+	var times eventTimes
+	start := time.Now()
+	for i := range minIntervalEvents {
+		qt.Check(t, times.interval(), qt.Equals, time.Duration(0))
+		times.add(start.Add(time.Duration(i) * 30 * time.Millisecond))
+	}
+	qt.Check(t, times.interval(), qt.Equals, 30*time.Millisecond)
+}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -16,6 +16,9 @@
 	// which process and cache prompts.
 	Engine bool
 	Demand request.Demand
+	// PauseAim is the longest time between two events with which a stream has its full value,
+	// zero if there is none.
+	PauseAim time.Duration
 	// Avoid names the targets that the request was already sent to.
 	Avoid []string
 	// Wide compares many engines instead of few, as for an account that is due more than it
@@ -32,12 +35,18 @@
 	// Wait is the expected time until the target begins to answer, QueueWait the
 	// portion of it that other requests cause.
 	Wait, QueueWait time.Duration
-	// MeanQueueWait is the mean time that a request waits for others at the engines of the
+	// MedianQueueWait is the median time that a request waits for others at the engines of the
 	// service. What each engine has in flight is known with a delay in which it changes
-	// much; the mean of all changes slowly.
-	MeanQueueWait time.Duration
+	// much; the median of all changes slowly.
+	MedianQueueWait time.Duration
 	// PromptTokens is the number of prompt tokens that the target has to process.
 	PromptTokens float64
+	// Work is PromptTokens and the work of the requests before it, in prompt tokens.
+	Work float64
+	// StartDelay is the time to the first event of a response that comes on top of Wait.
+	StartDelay time.Duration
+	// FetchTime is the portion of Wait in which cached tokens are copied from CacheHolder.
+	FetchTime time.Duration
 	// CacheHolder is the address of another target that has more of the prompt
 	// cached, empty if none is known.
 	CacheHolder string
@@ -57,6 +66,9 @@
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
+	if q.Engine && q.PauseAim > 0 && q.longPrompt(t.speed(q.Service)) {
+		q.Wide = true
+	}
 	preferred := preferFirst(usable, preferredTargets(q, usable))
 	var home *targetState
 	if preferred > 0 {
@@ -64,13 +76,19 @@
 	}
 	candidates, preferred := t.candidates(q, usable, preferred, now, daemons)
 	cached := cachedPrompt(q, candidates, home, now)
+	var engines summary
+	if q.Engine {
+		engines = t.summarize(q.Service, now, others)
+	}
 	var best Choice
 	var bestTarget *targetState
 	var bestCost time.Duration
 	for i, target := range candidates {
 		c, fetch := t.estimate(target, q, now, others[target.Name], cached.forTarget(i, candidates))
 		c.Cold = now < t.coldUntil(target)
-		cost := c.Wait + t.penalty(target) + target.faults.penalty(now, c.Wait, q.Engine) + time.Duration(fetchCostFactor*float64(fetch))
+		requests := target.work.Requests + others[target.Name].Requests
+		pace := target.pace.relative(now, engines.eventInterval)
+		cost := c.Wait + time.Duration((pace-1)*float64(c.Wait+paceBaseWait)) + c.pauseCost(q.PauseAim, requests) + t.penalty(target) + target.faults.penalty(now, c.Wait, q.Engine) + time.Duration(fetchCostFactor*float64(fetch))
 		switch {
 		case q.Isolated:
 			cost += isolationPenalty(target, others[target.Name], c.Cold)
@@ -85,9 +103,7 @@
 	if bestTarget == nil {
 		return Choice{}, false
 	}
-	if q.Engine {
-		best.MeanQueueWait = t.meanQueueWait(q.Service, now, others)
-	}
+	best.MedianQueueWait = engines.queueWait
 	if best.Cold {
 		bestTarget.nextCold = now.Add(t.coldInterval(bestTarget, daemons))
 	}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -7,13 +7,12 @@
 )
 
 const (
-	// prefillTokensPerSecond is the prompt processing (prefill) rate of an engine.
-	prefillTokensPerSecond = 38_000
 	// fetchTokensPerSecond is the rate at which one engine copies cached tokens from
 	// another.
 	fetchTokensPerSecond = 90_000
-	// waitPerRequest is the wait that each request in flight adds at an engine.
-	waitPerRequest = 2 * time.Millisecond
+	// tokensPerRequest is the work that each request in flight adds at an engine, in prompt
+	// tokens.
+	tokensPerRequest = 76
 	// plainRequestTime is the duration of a request to a service that is not an
 	// inference engine.
 	plainRequestTime = 15 * time.Millisecond
@@ -42,18 +41,16 @@
 	}
 	fetch := time.Duration(float64(fetched) / fetchTokensPerSecond * float64(time.Second))
 	c.PromptTokens = float64(max(q.Demand.Prompt-cache.assumed-fetched, 1))
-	c.QueueWait = queueWait(target, others)
-	c.Wait = c.QueueWait + prefillTime(c.PromptTokens) + fetch
+	speed := t.speed(q.Service)
+	queued := queuedWork(target, others)
+	c.Work, c.FetchTime, c.StartDelay = queued+c.PromptTokens, fetch, speed.delay
+	c.QueueWait = speed.duration(queued)
+	c.Wait = speed.duration(c.Work) + fetch
 	return c, fetch
 }
 
-// queueWait returns how long a request waits for those in flight at an engine, given what
-// other daemons have in flight there.
-func queueWait(target *targetState, others Work) time.Duration {
-	return prefillTime(target.work.Prompt+others.Prompt) + waitPerRequest*time.Duration(target.work.Requests+others.Requests)
-}
-
-// prefillTime returns the time in which an engine processes prompt tokens.
-func prefillTime(tokens float64) time.Duration {
-	return time.Duration(tokens / prefillTokensPerSecond * float64(time.Second))
+// queuedWork returns the work that an engine has in flight, in prompt tokens, given what other
+// daemons have in flight there.
+func queuedWork(target *targetState, others Work) float64 {
+	return target.work.Prompt + others.Prompt + float64(tokensPerRequest*(target.work.Requests+others.Requests))
 }
--- a/placement/notice_test.go
+++ b/placement/notice_test.go
@@ -168,7 +168,7 @@
 				time.Sleep(time.Duration(rapid.IntRange(1, 6).Draw(rt, "wait")) * time.Millisecond)
 			case "end":
 				table.Started(name, 100, nil)
-				table.Ended(name, port.Attempt{Result: rapid.SampledFrom([]port.AttemptResult{port.Succeeded, port.Overloaded, port.Failed}).Draw(rt, "result")}, time.Millisecond)
+				table.Ended(name, port.Attempt{Result: rapid.SampledFrom([]port.AttemptResult{port.Succeeded, port.Overloaded, port.Failed}).Draw(rt, "result")}, Choice{Wait: time.Millisecond})
 			}
 			for range 8 {
 				chosen, ok := table.Choose(Query{Service: "engine", Engine: true, Avoid: []string{name}})
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -116,7 +116,7 @@
 	}
 	qt.Check(t, cold(func(*Table) {}), qt.IsFalse)
 	qt.Check(t, cold(func(t *Table) { t.Update(viewOf(1, func(e *mirror.Target) { e.Cold = time.Second })) }), qt.IsTrue)
-	qt.Check(t, cold(func(t *Table) { t.Ended("t0", port.Attempt{Result: port.Unreachable}, 0) }), qt.IsTrue)
+	qt.Check(t, cold(func(t *Table) { t.Ended("t0", port.Attempt{Result: port.Unreachable}, Choice{}) }), qt.IsTrue)
 	qt.Check(t, cold(func(t *Table) {
 		v := viewOf(1, nil)
 		v.Restored["a"] = clock.Now()
@@ -331,7 +331,7 @@
 					sent++
 					ended = a
 				}
-				table.Ended(c.Target.Name, ended, c.Wait)
+				table.Ended(c.Target.Name, ended, c)
 			}
 			qt.Check(t, sent <= 5, qt.IsTrue, qt.Commentf("%d requests to the faulty target", sent))
 			table.mu.Lock()
@@ -350,7 +350,7 @@
 	}
 	t.Run("single fault", func(t *testing.T) {
 		table := newTable("d0", []string{"d0"}, 2)
-		table.Ended("t0", port.Attempt{Result: port.Failed}, 0)
+		table.Ended("t0", port.Attempt{Result: port.Failed}, Choice{})
 		for range 64 { // requests stay in flight, as under load
 			c, _ := table.Choose(Query{Service: "engine"})
 			table.Started(c.Target.Name, 0, nil)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -132,12 +132,16 @@
 			if i == nil {
 				break
 			}
-			a, err := s.assign(i.Value.job)
+			a, err := s.assign(clock.Now(), i.Value.job)
 			if errors.Is(err, errNoTarget) {
 				break
 			}
 			q.queues.Take(now, i)
-			i.Value.result <- result{assignment: a, err: err}
+			if err != nil {
+				i.Value.result <- result{err: err}
+				continue
+			}
+			i.Value.result <- result{assignment: a}
 		}
 	}
 	q.serving = q.queues.Len() > 0
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -22,6 +22,10 @@
 // asked for time.
 const minPauseRetryAfter = 50 * time.Millisecond
 
+// idleMedianWait is the median wait in the queues of the engines up to which most of them count
+// as idle.
+const idleMedianWait = 15 * time.Millisecond
+
 // Scheduler implements port.Scheduler for targets that queue requests themselves.
 // It assigns or refuses each request immediately, based on what all daemons have
 // in flight. Requests wait, briefly, only while no target can be used. The
@@ -40,9 +44,12 @@
 
 // Acquire implements port.Scheduler.
 func (s *Scheduler) Acquire(ctx context.Context, job port.Job) (port.Assignment, error) {
-	a, err := s.assign(job)
-	if !errors.Is(err, errNoTarget) {
-		return a, err
+	a, err := s.assign(clock.Now(), job)
+	switch {
+	case err == nil:
+		return a, nil
+	case !errors.Is(err, errNoTarget):
+		return nil, err
 	}
 	listed := s.Table.Listed(job.Service)
 	refusal := &request.Refusal{
@@ -62,19 +69,21 @@
 }
 
 // assign chooses a target without waiting. Its error is errNoTarget or a refusal.
-func (s *Scheduler) assign(job port.Job) (port.Assignment, error) {
-	query := Query{Service: job.Service, Engine: s.Engine(job.Service), Demand: job.Demand, Avoid: job.Avoid, Isolated: job.Isolated}
+func (s *Scheduler) assign(now clock.Instant, job port.Job) (*assignment, error) {
+	query := Query{
+		Service: job.Service, Engine: s.Engine(job.Service), Demand: job.Demand, PauseAim: job.PauseAim, Avoid: job.Avoid, Isolated: job.Isolated,
+	}
 	choice, ok := s.Table.Choose(query)
 	if !ok {
 		return nil, errNoTarget
 	}
-	a := &assignment{scheduler: s, job: job}
+	a := &assignment{scheduler: s, job: job, decidedAt: now}
 	a.choose(choice)
 	switch {
 	case !query.Engine:
 	case job.Retry: // it was admitted before
-		a.admitted, a.admittedAt = true, clock.Now()
-		s.Admission.Count(a.admittedAt, job.Account, job.Demand.Work())
+		a.admitted = true
+		s.Admission.Count(now, job.Account, job.Demand.Work())
 	default:
 		if err := a.admit(); err != nil && !a.admitElsewhere(query) {
 			return nil, err
@@ -90,9 +99,9 @@
 	job       port.Job
 	choice    Choice
 	basis     port.Basis
-	// admitted reports whether the work of the job counts as served, since admittedAt.
-	admitted   bool
-	admittedAt clock.Instant
+	// admitted reports whether the work of the job counts as served, since decidedAt.
+	admitted  bool
+	decidedAt clock.Instant
 	// responseStarted reports whether ResponseStarted was called.
 	responseStarted bool
 }
@@ -100,16 +109,15 @@
 // choose sets the target.
 func (a *assignment) choose(c Choice) {
 	a.choice = c
-	a.basis = port.Basis{Wait: c.Wait, MeanQueueWait: c.MeanQueueWait, Prompt: c.PromptTokens, CacheHolder: c.CacheHolder, Cold: c.Cold}
+	a.basis = port.Basis{Wait: c.Wait, MedianQueueWait: c.MedianQueueWait, Prompt: c.PromptTokens, CacheHolder: c.CacheHolder, Cold: c.Cold}
 }
 
 // decide requests admission of the job to its target. Again states that the job was refused
 // at another target.
 func (a *assignment) decide(again bool) admission.Decision {
-	a.admittedAt = clock.Now()
-	decision := a.scheduler.Admission.Decide(a.admittedAt, admission.Request{
+	decision := a.scheduler.Admission.Decide(a.decidedAt, admission.Request{
 		Account: a.job.Account, Work: a.job.Demand.Work(), QueueWait: a.choice.QueueWait, Wait: a.choice.Wait, Again: again,
-		MeanQueueWait: a.choice.MeanQueueWait, Aim: a.job.LatencyAim, Timeout: time.Until(a.job.Deadline),
+		MedianQueueWait: a.choice.MedianQueueWait, StartDelay: a.choice.StartDelay, PauseAim: a.job.PauseAim, Aim: a.job.LatencyAim, Timeout: time.Until(a.job.Deadline),
 	})
 	a.basis.Pressure, a.basis.Served, a.basis.Share = decision.Pressure, decision.Served, decision.Share
 	a.admitted = decision.Admitted
@@ -124,16 +132,16 @@
 	}
 	return &request.Refusal{
 		Reason: request.QueueFull, RetryAfter: decision.RetryAfter, Detail: fmt.Sprintf(
-			"the targets have more work than they can do in time: pressure %.2f, served %.0f of %.0f, mean queue %s",
-			decision.Pressure, decision.Served, decision.Share, a.choice.MeanQueueWait.Round(time.Millisecond)),
+			"the targets have more work than they can do in time: pressure %.2f, served %.0f of %.0f, median queue %s",
+			decision.Pressure, decision.Served, decision.Share, a.choice.MedianQueueWait.Round(time.Millisecond)),
 	}
 }
 
 // admitElsewhere tries to admit the refused job to one of many engines, if its account
-// receives less than its share. What is known of an engine is old, so if all requests went to
-// the best of many, they would crowd it; these are few.
+// receives less than its share, or most engines are idle. What is known of an engine is old, so
+// if all requests went to the best of many, they would crowd it; these are few.
 func (a *assignment) admitElsewhere(q Query) bool {
-	if a.basis.Served >= a.basis.Share {
+	if a.basis.Served >= a.basis.Share && a.choice.MedianQueueWait > idleMedianWait {
 		return false
 	}
 	q.Wide = true
@@ -172,11 +180,11 @@
 // Finish implements port.Assignment.
 func (a *assignment) Finish(t port.Attempt) {
 	a.ResponseStarted()
-	a.scheduler.Table.Ended(a.choice.Target.Name, t, a.choice.Wait)
+	a.scheduler.Table.Ended(a.choice.Target.Name, t, a.choice)
 	switch t.Result {
 	case port.NotSent, port.Overloaded, port.Unreachable, port.Misdirected:
 		if a.admitted {
-			a.scheduler.Admission.Withdraw(clock.Now(), a.job.Account, a.job.Demand.Work(), a.admittedAt)
+			a.scheduler.Admission.Withdraw(clock.Now(), a.job.Account, a.job.Demand.Work(), a.decidedAt)
 		}
 	case port.Succeeded, port.Failed, port.Crashed, port.Canceled:
 	}
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -80,7 +80,7 @@
 	const busy, free = 40, 10
 	work := map[string]Work{}
 	for i := range busy {
-		work[fmt.Sprint("t", i)] = Work{Prompt: 2 * prefillTokensPerSecond}
+		work[fmt.Sprint("t", i)] = Work{Prompt: 2 * defaultSpeed}
 	}
 	rates := map[string]admission.Rate{"small": {Asked: 90_000, Served: 30_000}, "large": {Asked: 900_000, Served: 300_000}}
 	s := newEngineScheduler(busy + free)
--- a/placement/stale_test.go
+++ b/placement/stale_test.go
@@ -66,7 +66,7 @@
 // old on average. It returns the waits until the prompts were processed, in ascending order.
 func (f *staleFleet) run(load float64, age, span time.Duration) []time.Duration {
 	const step, tokens = 10 * time.Millisecond, 2000.0
-	perStep := load * prefillTokensPerSecond * float64(len(f.engines)) * step.Seconds() / tokens
+	perStep := load * defaultSpeed * float64(len(f.engines)) * step.Seconds() / tokens
 	for now := time.Duration(0); now < span; now += step {
 		for d, table := range f.tables {
 			if (now/step+time.Duration(d))%(2*age/step) == 0 {
@@ -77,7 +77,7 @@
 			f.send(now, tokens*(0.5+f.random.Float64()))
 		}
 		for name, e := range f.engines {
-			e.process(name, now, prefillTokensPerSecond*step.Seconds())
+			e.process(name, now, defaultSpeed*step.Seconds())
 		}
 	}
 	var waits []time.Duration
@@ -108,7 +108,7 @@
 			return
 		}
 		p.table.PromptProcessed(name, p.tokens)
-		p.table.Ended(name, port.Attempt{Result: port.Succeeded}, time.Second)
+		p.table.Ended(name, port.Attempt{Result: port.Succeeded}, Choice{Wait: time.Second})
 		e.waits = append(e.waits, now-p.sent)
 		e.queue = e.queue[1:]
 	}
--- a/placement/table.go
+++ b/placement/table.go
@@ -42,11 +42,15 @@
 	services map[string][]*targetState
 	// untriedBuffer and triedBuffer are reused by Choose to avoid allocations.
 	untriedBuffer, triedBuffer []*targetState
-	domains                    map[string]domainState
+	// queuedBuffer is reused by summarize.
+	queuedBuffer []float64
+	domains      map[string]domainState
 	// peerLeaving is what PeerLeaving last returned.
 	peerLeaving map[string]int64
-	// meanWaits holds the last results of meanQueueWait, by service.
-	meanWaits map[string]meanWait
+	// summaries holds the last results of summarize, by service.
+	summaries map[string]summary
+	// speeds holds what was learned about the engines, by service.
+	speeds map[string]*engineSpeed
 }
 
 // Work is what daemons have in flight at a target.
@@ -78,6 +82,7 @@
 	downUntil clock.Instant
 	failures  int // consecutive attempts that were unreachable or crashed
 	faults    faults
+	pace      eventPace
 	// coldUntil is when the target is no longer cold, nextCold when this daemon may
 	// send the next request to it while it is cold.
 	coldUntil, nextCold clock.Instant
@@ -176,9 +181,9 @@
 	crashedCount = 4
 )
 
-// Ended removes a request from those in flight and records its result. Wait is
-// the expected time until the target begins to answer.
-func (t *Table) Ended(name string, a port.Attempt, wait time.Duration) {
+// Ended removes a request from those in flight and records its result, given the choice that
+// led to it.
+func (t *Table) Ended(name string, a port.Attempt, c Choice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	target := t.targets[name]
@@ -189,15 +194,19 @@
 	if target.work.Requests == 0 {
 		target.work.Prompt = 0
 	}
-	t.observe(target, a, wait, clock.Now())
+	t.observe(target, a, c, clock.Now())
+	t.learnSpeed(target, a, c)
 }
 
 // observe updates the state of the target with the result of an attempt.
-func (t *Table) observe(target *targetState, a port.Attempt, wait time.Duration, now clock.Instant) {
+func (t *Table) observe(target *targetState, a port.Attempt, c Choice, now clock.Instant) {
 	switch a.Result {
 	case port.Succeeded, port.Failed:
 		target.failures = 0
-		target.faults.add(now, a.Result == port.Failed || slow(a.FirstByte, wait))
+		target.faults.add(now, a.Result == port.Failed || slow(a.FirstByte, c.Wait))
+		if a.EventInterval > 0 {
+			target.pace.add(now, a.EventInterval)
+		}
 	case port.Unreachable:
 		target.failures++
 		pause := min(downTime<<min(target.failures-1, 4), maxDownTime)
@@ -217,7 +226,7 @@
 		}
 	case port.Canceled:
 		// The target had not started its response when it already counted as slow.
-		if a.FirstByte == 0 && slow(a.Total, wait) {
+		if a.FirstByte == 0 && slow(a.Total, c.Wait) {
 			target.faults.add(now, true)
 		}
 	case port.Overloaded, port.NotSent:
--- a/port/scheduler.go
+++ b/port/scheduler.go
@@ -32,6 +32,9 @@
 	// LatencyAim is the time to the first event within which the request has its full
 	// value, zero if it has none.
 	LatencyAim time.Duration
+	// PauseAim is the longest time between two events with which a stream has its full value,
+	// zero if it has none.
+	PauseAim time.Duration
 	// Demand holds what the request states about its prompt.
 	Demand request.Demand
 }
@@ -61,6 +64,9 @@
 	// doesn't show when the target started it.
 	FirstByte time.Duration
 	Total     time.Duration
+	// EventInterval is the mean time between two events of the response, zero if there were
+	// few.
+	EventInterval time.Duration
 	// Incarnation is the target incarnation that answered, empty if the response
 	// doesn't state it.
 	Incarnation string
@@ -87,9 +93,9 @@
 type Basis struct {
 	// Wait is the expected time until the target starts its response.
 	Wait time.Duration
-	// MeanQueueWait is the mean time that a request waits for others at the targets of the
+	// MedianQueueWait is the median time that a request waits for others at the targets of the
 	// service.
-	MeanQueueWait time.Duration
+	MedianQueueWait time.Duration
 	// Prompt is the number of prompt tokens that the target has to process.
 	Prompt float64
 	// CacheHolder is the address of another target that has cached prompt segments.
--- a/relay/metric.go
+++ b/relay/metric.go
@@ -75,7 +75,7 @@
 		e.Dur("expected-wait", c.Basis.Wait).Float64("prompt", c.Basis.Prompt).Bool("cold", c.Basis.Cold)
 	}
 	if c.Basis.Pressure > 0 {
-		e.Float64("pressure", c.Basis.Pressure).Float64("served", c.Basis.Served).Float64("share", c.Basis.Share).Dur("mean-queue-wait", c.Basis.MeanQueueWait)
+		e.Float64("pressure", c.Basis.Pressure).Float64("served", c.Basis.Served).Float64("share", c.Basis.Share).Dur("median-queue-wait", c.Basis.MedianQueueWait)
 	}
 	c.Handler.AddLogFields(e)
 	e.Msg("request ended")
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -29,7 +29,8 @@
 		routes = append(routes, map[string]any{
 			"name": r.Name, "host": r.Host, "path_prefix": r.PathPrefix, "route_type": kind, "resumable": r.Repeat == config.RepeatResume,
 			"timeout_ms": r.Timeout.Std().Milliseconds(), "target_latency_ms": r.LatencyAim.Std().Milliseconds(),
-			"priority": r.Priority, "traffic_split": split, "max_attempts": r.MaxAttempts, "public": r.Public, "sticky": r.Prompts,
+			"target_gap_ms": r.PauseAim.Std().Milliseconds(),
+			"priority":      r.Priority, "traffic_split": split, "max_attempts": r.MaxAttempts, "public": r.Public, "sticky": r.Prompts,
 		})
 	}
 	for _, s := range d.Services {
