--- a/placement/choice.go
+++ b/placement/choice.go
@@ -84,11 +84,9 @@
 	var bestTarget *targetState
 	var bestCost time.Duration
 	for i, target := range candidates {
-		c, fetch := t.estimate(target, q, now, others[target.Name], cached.forTarget(i, candidates))
+		c := t.estimate(target, q, now, others[target.Name], cached.forTarget(i, candidates))
 		c.Cold = now < t.coldUntil(target)
-		requests := target.work.Requests + others[target.Name].Requests
-		pace := target.pace.relative(now, engines.eventInterval)
-		cost := c.Wait + time.Duration((pace-1)*float64(c.Wait+paceBaseWait)) + c.pauseCost(q.PauseAim, requests) + t.penalty(target) + target.faults.penalty(now, c.Wait, q.Engine) + time.Duration(fetchCostFactor*float64(fetch))
+		cost := t.cost(q, target, c, others[target.Name], engines, now)
 		switch {
 		case q.Isolated:
 			cost += isolationPenalty(target, others[target.Name], c.Cold)
@@ -109,3 +107,13 @@
 	}
 	return best, true
 }
+
+// cost returns the expected wait of the request at the target, and the advantages that the target
+// needs to be chosen.
+func (t *Table) cost(q Query, target *targetState, c Choice, others Work, engines summary, now clock.Instant) time.Duration {
+	cost := c.Wait + t.penalty(target)
+	cost += time.Duration(fetchCostFactor * float64(c.FetchTime))
+	cost += target.faults.penalty(now, c.Wait, q.Engine)
+	cost += target.pace.penalty(now, c.Wait, engines.eventInterval)
+	return cost + c.pauseCost(q.PauseAim, target.work.Requests+others.Requests)
+}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -20,9 +20,8 @@
 	loadMaxAge = 600 * time.Millisecond
 )
 
-// estimate returns the choice of the target with its expected waits, and the time
-// to fetch cached tokens from another target.
-func (t *Table) estimate(target *targetState, q Query, now clock.Instant, others Work, cache targetCache) (Choice, time.Duration) {
+// estimate returns the choice of the target with its expected waits.
+func (t *Table) estimate(target *targetState, q Query, now clock.Instant, others Work, cache targetCache) Choice {
 	c := Choice{Target: target.Target}
 	requests := target.work.Requests + others.Requests
 	if !q.Engine {
@@ -31,7 +30,7 @@
 			requests = max(requests, target.load.Running+target.load.Waiting)
 		}
 		c.Wait = plainRequestTime * time.Duration(requests+1) / time.Duration(slots)
-		return c, 0
+		return c
 	}
 	fetched := max(cache.otherAssumed-cache.assumed, 0)
 	// The cached tokens of a preferred target are only assumed, so it is given a
@@ -46,7 +45,7 @@
 	c.Work, c.FetchTime, c.StartDelay = queued+c.PromptTokens, fetch, speed.delay
 	c.QueueWait = speed.duration(queued)
 	c.Wait = speed.duration(c.Work) + fetch
-	return c, fetch
+	return c
 }
 
 // queuedWork returns the work that an engine has in flight, in prompt tokens, given what other
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -36,6 +36,12 @@
 	p.updated = now
 }
 
+// penalty returns the minimum advantage that the target needs because of its pace, given the mean
+// interval at all targets. It is negative for a target that is faster than the others.
+func (p *eventPace) penalty(now clock.Instant, wait, mean time.Duration) time.Duration {
+	return time.Duration((p.relative(now, mean) - 1) * float64(wait+paceBaseWait))
+}
+
 // relative returns the interval as a multiple of the mean of all targets.
 func (p *eventPace) relative(now clock.Instant, mean time.Duration) float64 {
 	if p.interval == 0 || mean == 0 {
