Mark a request once before its caller sends it again, instead of comparing crash times

In the traced case the daemon itself sent the request on within a millisecond to another of four targets that crashed together, and only this is left out: an attempt after the first broken one of a call adds no mark.

Failing before: relay TestRequestSentOnBetweenCrashesIsMarkedOnce. Not measured yet.

--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -102,9 +102,7 @@
 
 // quarantined reports whether a crash within the last period justifies a
 // quarantine: it is at least the third crash of the request within one period, or
-// the second one and the request was the only marked one at the target. The second one
-// doesn't count if both targets crashed at the same moment: then something else crashed them,
-// and the request was sent on from one to the other.
+// the second one and the request was the only marked one at the target.
 func (r *Registry) quarantined(now time.Time, fingerprint uint64) bool {
 	marks := make([]Mark, 0, len(r.marks[fingerprint]))
 	for _, m := range r.marks[fingerprint] {
@@ -115,13 +113,13 @@
 		if !now.Before(m.crashTime().Add(period)) {
 			continue
 		}
-		n, last := 1, time.Time{}
+		n := 1
 		for _, former := range marks[:i] {
 			if m.crashTime().Sub(former.crashTime()) < period {
-				n, last = n+1, former.crashTime()
+				n++
 			}
 		}
-		if n >= 3 || n == 2 && m.crashTime().Sub(last) > sameCrashWindow && r.alone(m) {
+		if n >= 3 || n == 2 && r.alone(m) {
 			return true
 		}
 	}
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -45,14 +45,6 @@
 		r.RecordCrash(after(2*time.Second), "t3/a", []uint64{poison, 2})
 		assertVerdict(c, r, after(2*time.Second), poison, true, true)
 	})
-	c.Run("targets that crash at the same moment don't quarantine a request that was sent on between them", func(c *qt.C) {
-		r := &Registry{}
-		r.RecordCrash(begin, "t1/a", []uint64{poison})
-		r.RecordCrash(after(3*time.Millisecond), "t2/a", []uint64{poison})
-		assertVerdict(c, r, after(3*time.Millisecond), poison, true, false)
-		r.RecordCrash(after(time.Second), "t3/a", []uint64{poison})
-		assertVerdict(c, r, after(time.Second), poison, true, true)
-	})
 	c.Run("one crash seen by two daemons is one mark", func(c *qt.C) {
 		r, o := &Registry{}, &Registry{}
 		r.RecordCrash(begin, "t1/a", []uint64{poison})
--- a/relay/call.go
+++ b/relay/call.go
@@ -51,6 +51,8 @@
 
 	// suspect reports whether the prompt has a segment that may crash targets.
 	suspect bool
+	// interrupted reports whether the connection of an attempt broke.
+	interrupted bool
 	// probing reports whether the request tests quarantined prompt segments.
 	probing bool
 	// sentAt is SentAt on the clock that includes suspensions.
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -41,6 +41,9 @@
 	content     uint64
 	segments    []request.Segment
 	events      int // received before the connection broke
+	// sentOn reports whether the daemon had sent the request on after its connection to another
+	// target broke.
+	sentOn      bool
 	sent, ended clock.Instant
 }
 
@@ -84,7 +87,9 @@
 		return
 	}
 	f.tracker.removeAttempt(c, run, false)
-	if target := c.Target; f.brokenConnections.add(target.Name, interruptionOf(c)) {
+	interrupted := interruptionOf(c)
+	c.interrupted = true
+	if target := c.Target; f.brokenConnections.add(target.Name, interrupted) {
 		time.AfterFunc(crashConfirmDelay, func() {
 			crashed := f.ConfirmCrash(target)
 			if interrupted := f.brokenConnections.take(target.Name); crashed {
@@ -102,11 +107,13 @@
 // answer had not gone on.
 func (i interruption) mayBeCause() bool { return i.events < continuingEvents }
 
-// fingerprintsOf returns the fingerprints of the requests that may have caused the crash.
+// fingerprintsOf returns the fingerprints of the requests that may have caused the crash. A
+// request marks one target only before its caller sends it again: targets that crash together
+// interrupt it once more when it is sent on from one of them to another.
 func fingerprintsOf(interrupted []interruption) []uint64 {
 	var list []uint64
 	for _, i := range interrupted {
-		if i.mayBeCause() {
+		if i.mayBeCause() && !i.sentOn {
 			list = append(list, i.fingerprint)
 		}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -216,3 +216,18 @@
 		})
 	}
 }
+
+// Guards against the quarantine of a request that its daemon sent on from one target to another,
+// when both crash for another reason.
+func TestRequestSentOnBetweenCrashesIsMarkedOnce(t *testing.T) {
+	r := newRig(config.RepeatAny, crashed, crashed, succeeded)
+	registry, marked := &quarantine.Registry{}, make(chan bool, 2)
+	r.Quarantine, r.ConfirmCrash, r.OnMarked = registry, func(config.Target) bool { return true }, func() { marked <- true }
+	r.call.Fingerprint = 7
+	r.run()
+	for range 2 {
+		<-marked
+	}
+	qt.Assert(t, registry.Marks(time.Now()), qt.HasLen, 1)
+	qt.Assert(t, registry.Quarantined(time.Now(), 7), qt.IsFalse)
+}
--- a/relay/segment.go
+++ b/relay/segment.go
@@ -81,7 +81,7 @@
 func interruptionOf(c *Call) interruption {
 	return interruption{
 		request: c.ID, fingerprint: c.Fingerprint, content: c.Content, segments: c.Segments, events: int(c.events.Load()),
-		sent: c.sentAt, ended: clock.Now(),
+		sentOn: c.interrupted, sent: c.sentAt, ended: clock.Now(),
 	}
 }
 
