Add review case 8: engines that become cold while the store is silent

Promise: FAILBACK, a cold server gets no more requests in one second than cold_per_s x cold_overshoot + cold_slack, from all machines together.

Run: review/8/run.sh, 9 daemons as processes; the store is silent for 4.7 s during a burst of 1.4 times the traffic, while 9 engines become cold.

--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -121,13 +121,17 @@
 	outageTime = 4700 * time.Millisecond
 	// engineTraffic is the requests for engines per second on the day scale-1.
 	engineTraffic = 135
+	// burstFactor is by how much the traffic rises for burstTime.
+	burstFactor = 1.4
+	burstTime   = 5 * time.Second
 	// coldPause is the pause until the next engine becomes cold.
 	coldPause = 40 * time.Millisecond
 	// warmUpTime is how long the fleet serves before the outage.
 	warmUpTime = 5 * time.Second
 )
 
-// coldAgain makes the engines cold again, one after the other, while the store is silent.
+// coldAgain makes the engines cold again, one after the other, while the store is silent and many users
+// come at once.
 func coldAgain(f *fleet, trouble bool) (verdict, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -139,6 +143,10 @@
 			go s.restartCrashed(ctx, &seen)
 		}
 	}
+	burst, end := context.WithTimeout(ctx, burstTime)
+	defer end()
+	f.record.add("burst")
+	go f.traffic(burst, (burstFactor-1)*engineTraffic, func() call { return f.prompt("/chat/", 100, 400, 60) })
 	if trouble {
 		f.record.add("store falls silent")
 		f.store.setSilent(true)
