--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -234,6 +236,15 @@
 	observeTime = 20 * time.Second
 )
 
+// firstEngine and lastEngine return the engines whose entries come first and last in a read of the store.
+func (f *fleet) firstEngine() *server {
+	return slices.MinFunc(f.servers[:f.options.engines], func(a, b *server) int { return strings.Compare(a.id, b.id) })
+}
+
+func (f *fleet) lastEngine() *server {
+	return slices.MaxFunc(f.servers[:f.options.engines], func(a, b *server) int { return strings.Compare(a.id, b.id) })
+}
+
 // revokeWhileRead takes a key away while the daemons that read the store read all of it, because it
 // discarded its history.
 func revokeWhileRead(f *fleet, trouble bool) (verdict, error) {
@@ -245,7 +256,7 @@
 		f.record.add("watches hear nothing")
 		f.store.deafen()
 		time.Sleep(deafTime / 2)
-		f.servers[1].drain()
+		f.firstEngine().drain()
 		time.Sleep(deafTime / 2)
 		f.record.add("store discards its history and turns slow")
 		f.store.setAnswerTime(slowAnswer)
@@ -258,13 +269,12 @@
 		}
 	}
 	time.Sleep(revokeAfter)
-	key := f.tenants[len(f.tenants)-1]
-	f.tenants = f.tenants[:len(f.tenants)-1]
+	key := f.revokeLast()
 	f.configure()
 	revoked := time.Now()
 	f.record.add("configuration %d takes key %s away, acknowledged", f.version, key)
 	time.Sleep(drainAfter)
-	f.servers[0].drain()
+	f.lastEngine().drain()
 	for i := 0; time.Since(revoked) < observeTime; i++ {
 		q := f.prompt("/chat/", 100, 400, 20)
 		q.key = key
--- a/review/second/client.go
+++ b/review/second/client.go
@@ -133,7 +133,7 @@
 // prompt returns a prompt whose first segment others share, and whose last one is its own.
 func (f *fleet) prompt(route string, shared, own, output int) call {
 	return call{
-		method: http.MethodPost, path: route + "2f", key: f.tenants[rand.IntN(len(f.tenants))], body: strings.Repeat("x", 2*(shared+own)),
+		method: http.MethodPost, path: route + "2f", key: f.anyKey(), body: strings.Repeat("x", 2*(shared+own)),
 		deadline: 6 * time.Second, prompt: shared + own, output: output,
 		segments: fmt.Sprintf("%08x:%d,%016x:%d", 0x100+rand.IntN(40), shared, rand.Uint64(), own),
 	}
--- a/review/second/fleet.go
+++ b/review/second/fleet.go
@@ -140,11 +140,31 @@
 	return ports{}, errors.New("no free ports")
 }
 
+// anyKey returns the key of a tenant.
+func (f *fleet) anyKey() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tenants[rand.IntN(len(f.tenants))]
+}
+
+// revokeLast removes the last tenant from what configure writes, and returns its key.
+func (f *fleet) revokeLast() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := len(f.tenants) - 1
+	key := f.tenants[last]
+	f.tenants = f.tenants[:last]
+	return key
+}
+
 // configure writes the configuration of the operator.
 func (f *fleet) configure() {
+	f.mu.Lock()
+	keys := f.tenants
+	f.mu.Unlock()
 	f.version += 3
 	var tenants []any
-	for i, key := range f.tenants {
+	for i, key := range keys {
 		tenants = append(tenants, map[string]any{"name": fmt.Sprintf("tenant-%02d", i), "api_keys": []string{key}})
 	}
 	route := func(prefix, kind, service string, timeout, aim int, more map[string]any) map[string]any {
