Count a read of the store as complete at its first page only

The mirror raised the revision of its view to that of the newest entry, although changes up to it were missing, and handed its content on under that revision. Daemons that adopted it never asked for the missing change, and each message of the hub proved their content fresh.

Change: single entries of a read no longer raise the revision of a view, and its log begins after the newest of them.

--- a/mirror/view.go
+++ b/mirror/view.go
@@ -15,8 +15,8 @@
 
 // View is an immutable state of the mirror.
 type View struct {
-	// Revision is the revision of the last change that the view contains, or of the
-	// last read of all entries if that is higher.
+	// Revision is the revision up to which the view contains all changes. Single entries may be
+	// newer, since a read of all entries takes time.
 	Revision int64
 	// Index holds the configuration, nil while none is known.
 	Index *config.Index
@@ -44,9 +44,10 @@
 	return v.log.since(revision, now)
 }
 
-// restartLog empties the log of a view that was read as a whole: entries that were added
-// and removed before are in neither.
-func (v *View) restartLog() { v.log = changeLog{from: v.Revision} }
+// restartLog empties the log of a view that was read as a whole, up to the revision of its newest
+// entry: changes up to that are not in the log, and entries that were added and removed before
+// are not in the view either.
+func (v *View) restartLog(newest int64) { v.log = changeLog{from: newest} }
 
 // removedRetention is how long a target stays in the view after its entry was
 // removed.
@@ -86,7 +87,6 @@
 	if ok && known.Revision >= e.Entry.Revision || e.Deleted && !ok {
 		return nil
 	}
-	v.Revision = max(v.Revision, e.Entry.Revision)
 	change := Change{Event: e, received: received}
 	if e.Deleted {
 		v.log.add(change)
--- a/port/poller.go
+++ b/port/poller.go
@@ -9,7 +9,7 @@
 // each reply shows the state at a revision, at or after the time of the call.
 type Poller interface {
 	// Snapshot returns all entries, and a revision from which Poll continues.
-	// Entries may be newer than the revision.
+	// Single entries may be newer than the revision, without the changes in between.
 	Snapshot(ctx context.Context) ([]Entry, int64, error)
 	// Poll waits for changes after the revision, at most for the given time, and
 	// returns them and the revision that they lead to. It returns ErrCompacted if the
