Count crashes that interrupt answers which had gone on

Callers saw: a request that crashes engines two events after its first token was never quarantined.

Cause: a request whose answer had gone on got no mark, as most of those that a crash interrupts then are sound. Weak evidence counted as none. The logs show it: the same fingerprint, two events, 0 marked requests.

Change: it gets a late mark. Late marks don't quarantine with the second crash, three marks of any kind do, and a complete answer to the same request refutes them. Related path: a stream that a daemon resumes elsewhere is marked at each target that had answered it.

--- a/coordinator/feed.go
+++ b/coordinator/feed.go
@@ -185,5 +185,9 @@
 }
 
 func sameMark(x, y quarantine.Mark) bool {
-	return x.Fingerprint == y.Fingerprint && x.Crash == y.Crash && x.Alone == y.Alone && x.Expires.Equal(y.Expires)
+	if !x.Expires.Equal(y.Expires) {
+		return false
+	}
+	x.Expires = y.Expires // may differ in its location
+	return x == y
 }
--- a/frontend/rig_test.go
+++ b/frontend/rig_test.go
@@ -113,6 +113,14 @@
 	}
 }
 
+func (r *rig) RecordLateCrash(at time.Time, crash string, fingerprints []uint64) {
+	if len(fingerprints) > 0 {
+		r.RecordCrash(at, crash, fingerprints)
+	}
+}
+
+func (*rig) RecordAnswer(uint64) {}
+
 // grantAll grants every claim.
 type grantAll struct{ Claims }
 
--- a/quarantine/mark.go
+++ b/quarantine/mark.go
@@ -14,6 +14,30 @@
 	// time distinguishes a later crash of the same name.
 	Crash string
 	// Alone reports whether no other marked request was in flight at the target.
-	Alone   bool
-	Expires time.Time
+	Alone bool
+	// Late reports whether the answer of the request had gone on when the target crashed. Most
+	// such requests are not the cause.
+	Late bool
+	// Answered reports whether a target has completed an answer to the request since the crash.
+	Answered bool
+	Expires  time.Time
+}
+
+// counts reports whether the mark is evidence against the request. A request that crashes targets
+// some time after they began to answer it gets no complete answer.
+func (m Mark) counts() bool { return !m.Late || !m.Answered }
+
+// crashTime returns the time of the crash that the mark records.
+func (m Mark) crashTime() time.Time { return m.Expires.Add(-markLifetime) }
+
+// merge returns the mark that holds what two marks of the same request and crash state. The result
+// does not depend on their order. The request was late only if all daemons that sent it say so.
+func (m Mark) merge(o Mark) Mark {
+	m.Alone = m.Alone && o.Alone
+	m.Late = m.Late && o.Late
+	m.Answered = m.Answered || o.Answered
+	if o.Expires.After(m.Expires) {
+		m.Expires = o.Expires
+	}
+	return m
 }
--- a/quarantine/reconciliation.go
+++ b/quarantine/reconciliation.go
@@ -33,13 +33,15 @@
 func (m Mark) part() int { return int(m.Fingerprint % markParts) }
 
 func (m Mark) hash() uint64 {
-	alone := uint64(0)
-	if m.Alone {
-		alone = 1
+	flags := uint64(0)
+	for i, set := range []bool{m.Alone, m.Late, m.Answered} {
+		if set {
+			flags |= 1 << i
+		}
 	}
 	h := xxhash.New()
 	_, _ = h.WriteString(m.Crash)
-	for _, n := range []uint64{m.Fingerprint, alone, uint64(m.Expires.UnixNano())} {
+	for _, n := range []uint64{m.Fingerprint, flags, uint64(m.Expires.UnixNano())} {
 		_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, n))
 	}
 	return h.Sum64()
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -40,13 +40,20 @@
 	digests Digests                    // of marks
 }
 
-// crashTime returns the time of the crash that the mark records.
-func (m Mark) crashTime() time.Time { return m.Expires.Add(-markLifetime) }
-
 // RecordCrash marks the requests that were in flight at a target when it crashed.
 // The crash is named by target and, if it is known, incarnation, so that daemons
 // that observe the same crash agree on its name.
 func (r *Registry) RecordCrash(now time.Time, crash string, fingerprints []uint64) {
+	r.record(now, crash, fingerprints, false)
+}
+
+// RecordLateCrash does the same for requests whose answers had gone on. Three late marks are
+// needed for a quarantine, and a complete answer refutes them.
+func (r *Registry) RecordLateCrash(now time.Time, crash string, fingerprints []uint64) {
+	r.record(now, crash, fingerprints, true)
+}
+
+func (r *Registry) record(now time.Time, crash string, fingerprints []uint64, late bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
@@ -64,11 +71,23 @@
 		}
 		// The time has no monotonic clock reading, so that marks compare equal
 		// after transmission.
-		r.add(Mark{Fingerprint: f, Crash: crash, Alone: others == 0, Expires: now.Add(markLifetime).UTC().Round(0)})
+		r.add(Mark{Fingerprint: f, Crash: crash, Alone: others == 0, Late: late, Expires: now.Add(markLifetime).UTC().Round(0)})
 	}
 	r.evictOldest()
 }
 
+// RecordAnswer records that a target has completed an answer to the request.
+func (r *Registry) RecordAnswer(fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.marks[fingerprint] {
+		if m.Late && !m.Answered {
+			m.Answered = true
+			r.add(m)
+		}
+	}
+}
+
 // crashName distinguishes the crash from an earlier one with the same name. Daemons
 // that observe the same crash usually agree on the new name too: it contains the
 // time rounded down to a multiple of twice sameCrashWindow.
@@ -94,7 +113,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.marks[fingerprint] {
-		if now.Before(m.crashTime().Add(period)) {
+		if m.counts() && now.Before(m.crashTime().Add(period)) {
 			return true
 		}
 	}
@@ -103,30 +122,40 @@
 
 // quarantined reports whether a crash within the last period justifies a
 // quarantine: it is at least the third crash of the request within one period, or
-// the second one and the request was the only marked one at the target.
+// the second one, the request was the only marked one at the target, and neither
+// crash was late.
 func (r *Registry) quarantined(now time.Time, fingerprint uint64) bool {
 	marks := make([]Mark, 0, len(r.marks[fingerprint]))
 	for _, m := range r.marks[fingerprint] {
-		marks = append(marks, m)
+		if m.counts() {
+			marks = append(marks, m)
+		}
 	}
 	sort.Slice(marks, func(i, j int) bool { return older(marks[i], marks[j]) })
 	for i, m := range marks {
-		if !now.Before(m.crashTime().Add(period)) {
-			continue
-		}
-		n := 1
-		for _, former := range marks[:i] {
-			if m.crashTime().Sub(former.crashTime()) < period {
-				n++
-			}
-		}
-		if n >= 3 || n == 2 && r.alone(m) {
+		if now.Before(m.crashTime().Add(period)) && r.suffices(m, marks[:i]) {
 			return true
 		}
 	}
 	return false
 }
 
+// suffices reports whether the mark justifies a quarantine together with the former ones of the
+// same request.
+func (r *Registry) suffices(m Mark, former []Mark) bool {
+	all, early := 1, 0
+	for _, f := range former {
+		if m.crashTime().Sub(f.crashTime()) >= period {
+			continue
+		}
+		all++
+		if !f.Late {
+			early++
+		}
+	}
+	return all >= 3 || early == 1 && !m.Late && r.alone(m)
+}
+
 // alone reports whether no other request in flight at the crash had been marked
 // before. The daemon that created the mark knew only its own requests at the
 // target, so the marks of other daemons for the same crash are checked too.
@@ -153,20 +182,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	return r.sorted()
+	return r.sorted(anyMark)
 }
 
 // Recent returns the marks of crashes within the given time span before now.
 func (r *Registry) Recent(now time.Time, span time.Duration) []Mark {
-	var recent []Mark
-	for _, m := range r.Marks(now) {
-		if now.Sub(m.crashTime()) <= span {
-			recent = append(recent, m)
-		}
-	}
-	return recent
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	return r.sorted(func(m Mark) bool { return now.Sub(m.crashTime()) <= span })
 }
 
+func anyMark(Mark) bool { return true }
+
 // Merge adds the marks received from another daemon, and reports whether that changed anything.
 func (r *Registry) Merge(now time.Time, marks []Mark) bool {
 	r.mu.Lock()
@@ -182,9 +210,7 @@
 	return r.digests != before
 }
 
-// add adds the mark, or merges it with an existing one of the same request and
-// crash. The merged mark has the later expiry, and Alone is true only if it is true
-// in both. The result does not depend on the order of the marks.
+// add adds the mark, or merges it with an existing one of the same request and crash.
 func (r *Registry) add(m Mark) {
 	if r.marks == nil {
 		r.marks, r.crashes = map[uint64]map[string]Mark{}, map[string]map[uint64]bool{}
@@ -198,10 +224,7 @@
 	old, known := r.marks[m.Fingerprint][m.Crash]
 	if known {
 		r.digests.toggle(old)
-		m.Alone = m.Alone && old.Alone
-		if old.Expires.After(m.Expires) {
-			m.Expires = old.Expires
-		}
+		m = m.merge(old)
 	} else {
 		r.count++
 	}
@@ -242,20 +265,23 @@
 	if r.count <= limit {
 		return
 	}
-	for _, m := range r.sorted()[:r.count-limit] {
+	for _, m := range r.sorted(anyMark)[:r.count-limit] {
 		r.remove(m)
 	}
 }
 
-func (r *Registry) sorted() []Mark {
-	all := make([]Mark, 0, r.count)
+// sorted returns the marks that match, oldest first.
+func (r *Registry) sorted(match func(Mark) bool) []Mark {
+	var list []Mark
 	for _, marks := range r.marks {
 		for _, m := range marks {
-			all = append(all, m)
+			if match(m) {
+				list = append(list, m)
+			}
 		}
 	}
-	sort.Slice(all, func(i, j int) bool { return older(all[i], all[j]) })
-	return all
+	sort.Slice(list, func(i, j int) bool { return older(list[i], list[j]) })
+	return list
 }
 
 func older(a, b Mark) bool {
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -174,3 +174,50 @@
 		}
 	}
 }
+
+// Guards against a request that crashes targets late in its answers and is never quarantined, and
+// against one that is, although the crashes are no evidence.
+func TestLateMarks(t *testing.T) {
+	c := qt.New(t)
+	c.Run("the third late mark quarantines", func(c *qt.C) {
+		r := &Registry{}
+		for i := range 3 {
+			assertVerdict(c, r, after(time.Minute), poison, i > 0, false)
+			r.RecordLateCrash(after(time.Duration(i)*time.Second), fmt.Sprint("t", i), []uint64{poison})
+		}
+		assertVerdict(c, r, after(time.Minute), poison, true, true)
+	})
+	c.Run("an early and a late mark don't quarantine, two early ones do", func(c *qt.C) {
+		r := &Registry{}
+		r.RecordCrash(begin, "t1", []uint64{poison})
+		r.RecordLateCrash(after(time.Second), "t2", []uint64{poison})
+		assertVerdict(c, r, after(time.Second), poison, true, false)
+		r.RecordCrash(after(2*time.Second), "t3", []uint64{poison})
+		assertVerdict(c, r, after(2*time.Second), poison, true, true)
+	})
+	c.Run("a request that another daemon had sent early isn't late", func(c *qt.C) {
+		r, o := &Registry{}, &Registry{}
+		r.RecordLateCrash(begin, "t1", []uint64{poison})
+		o.RecordCrash(begin, "t1", []uint64{poison})
+		r.Merge(begin, o.Marks(begin))
+		o.Merge(begin, r.Marks(begin))
+		c.Assert(r.Marks(begin)[0].Late, qt.IsFalse)
+		c.Assert(r.Digests(begin), qt.Equals, o.Digests(begin))
+	})
+	c.Run("an answer refutes late marks only, in all daemons", func(c *qt.C) {
+		r, o := &Registry{}, &Registry{}
+		for i := range 3 {
+			r.RecordLateCrash(after(time.Duration(i)*time.Second), fmt.Sprint("t", i), []uint64{poison, 2})
+		}
+		r.RecordCrash(after(time.Second), "t9", []uint64{3})
+		o.Merge(begin, r.Marks(begin))
+		o.RecordAnswer(poison)
+		o.RecordAnswer(3)
+		r.Merge(begin, r.Marks(begin))
+		r.Merge(begin, o.Marks(begin))
+		assertVerdict(c, r, after(time.Minute), poison, false, false)
+		assertVerdict(c, r, after(time.Minute), 2, true, true)
+		assertVerdict(c, r, after(time.Minute), 3, true, false)
+		c.Assert(r.Digests(begin), qt.Equals, o.Digests(begin))
+	})
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -221,8 +221,8 @@
 	}
 	switch {
 	case r.Complete:
-		if r.Result == port.Succeeded && c.events.Load() < continuingEvents {
-			c.recordAnswer()
+		if r.Result == port.Succeeded {
+			c.recordComplete()
 		}
 		c.Apply(request.Complete{NotRunStatus: r.NotRunStatus})
 		c.Handler.Deliver()
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -75,13 +75,13 @@
 // attemptEnded removes an attempt from those in flight. If its connection broke and
 // ConfirmCrash is nil, it marks all requests that were in flight at the target. If
 // ConfirmCrash is set, it marks only the requests whose connections to the target
-// broke before their answers had gone on, once the crash is confirmed.
+// broke, once the crash is confirmed.
 func (f *Forwarder) attemptEnded(c *Call, run *targetRun, connectionBroke bool) {
 	if !connectionBroke || f.ConfirmCrash == nil {
 		crash, fingerprints := f.tracker.removeAttempt(c, run, connectionBroke)
 		if crash != "" {
 			c.crashedAt = time.Now()
-			f.recordCrash(c.crashedAt, crash, fingerprints)
+			f.recordCrash(c.crashedAt, crash, fingerprints, nil)
 			c.Record("target-crashed", crash)
 		}
 		return
@@ -97,23 +97,34 @@
 				if f.Segments != nil {
 					f.Segments.RecordCrash(target.Name, suspectsOf(interrupted))
 				}
-				f.recordCrash(time.Now(), target.Name, fingerprintsOf(interrupted))
+				f.recordCrash(time.Now(), target.Name, fingerprintsOf(interrupted), lateFingerprintsOf(interrupted))
 			}
 		})
 	}
 }
 
-// mayBeCause reports whether the request may have caused the crash that interrupted it: its
-// answer had not gone on.
-func (i interruption) mayBeCause() bool { return i.events < continuingEvents }
+// late reports whether the answer of the request had gone on when the crash interrupted it.
+func (i interruption) late() bool { return i.events >= continuingEvents }
 
-// fingerprintsOf returns the fingerprints of the requests that may have caused the crash. A
+// fingerprintsOf returns the fingerprints of the requests whose answers had not gone on. A
 // request marks one target only before its caller sends it again: targets that crash together
 // interrupt it once more when it is sent on from one of them to another.
 func fingerprintsOf(interrupted []interruption) []uint64 {
 	var list []uint64
 	for _, i := range interrupted {
-		if i.mayBeCause() && !i.sentOn {
+		if !i.late() && !i.sentOn {
+			list = append(list, i.fingerprint)
+		}
+	}
+	return list
+}
+
+// lateFingerprintsOf returns the fingerprints of the requests whose answers had gone on. One that
+// was sent on counts too: the target that it was sent to answered it after the crash before.
+func lateFingerprintsOf(interrupted []interruption) []uint64 {
+	var list []uint64
+	for _, i := range interrupted {
+		if i.late() {
 			list = append(list, i.fingerprint)
 		}
 	}
@@ -141,13 +152,14 @@
 	}
 }
 
-// recordCrash marks the requests with the fingerprints. The crash is named by the
-// target alone if ConfirmCrash is set, otherwise by the name that removeAttempt
-// returned, which contains the incarnation if it is known.
-func (f *Forwarder) recordCrash(at time.Time, crash string, fingerprints []uint64) {
-	f.Logger.Warn().Str("crash", crash).Int("requests", len(fingerprints)).Msg("target crashed")
+// recordCrash marks the requests with the fingerprints, late those whose answers had gone on. The
+// crash is named by the target alone if ConfirmCrash is set, otherwise by the name that
+// removeAttempt returned, which contains the incarnation if it is known.
+func (f *Forwarder) recordCrash(at time.Time, crash string, fingerprints, late []uint64) {
+	f.Logger.Warn().Str("crash", crash).Int("requests", len(fingerprints)).Int("late", len(late)).Msg("target crashed")
 	if f.Quarantine != nil {
 		f.Quarantine.RecordCrash(at, crash, fingerprints)
+		f.Quarantine.RecordLateCrash(at, crash, late)
 	}
 	if f.OnMarked != nil {
 		f.OnMarked()
--- a/relay/forwarder.go
+++ b/relay/forwarder.go
@@ -25,6 +25,8 @@
 	Quarantined(now time.Time, fingerprint uint64) bool
 	Marked(now time.Time, fingerprint uint64) bool
 	RecordCrash(now time.Time, crash string, fingerprints []uint64)
+	RecordLateCrash(now time.Time, crash string, fingerprints []uint64)
+	RecordAnswer(fingerprint uint64)
 }
 
 // RetryBudget limits retries in proportion to the requests.
--- a/relay/segment.go
+++ b/relay/segment.go
@@ -28,6 +28,16 @@
 	}
 }
 
+// recordComplete records that a target has completed an answer to the request.
+func (c *Call) recordComplete() {
+	if c.events.Load() < continuingEvents {
+		c.recordAnswer()
+	}
+	if q := c.forwarder.Quarantine; q != nil {
+		q.RecordAnswer(c.Fingerprint)
+	}
+}
+
 // mayHaveCrashed reports whether a segment of the prompt may have crashed the target of the last
 // attempt, whose connection broke. Such a request isn't sent to another target.
 func (c *Call) mayHaveCrashed() bool {
@@ -85,11 +95,12 @@
 	}
 }
 
-// suspectsOf returns the requests that may have caused the crash that interrupted them.
+// suspectsOf returns the requests whose segments may have caused the crash: their answers had not
+// gone on.
 func suspectsOf(interrupted []interruption) []quarantine.Interruption {
 	var suspects []quarantine.Interruption
 	for _, i := range interrupted {
-		if i.mayBeCause() && len(i.segments) > 0 {
+		if !i.late() && len(i.segments) > 0 {
 			suspects = append(suspects, quarantine.Interruption{Request: i.content, Segments: i.segments, Sent: i.sent, Ended: i.ended})
 		}
 	}
