Don't send new crash marks to daemons that have them

The newest marks were in each message for 5 s after a crash, also to daemons whose digest of all marks says that they have them. Late marks make them more: one for each stream at a crashed engine. Now they are sent until the receiver states the same digest. TestNewMarksAreSentOnce failed before.

--- a/exchange/marks.go
+++ b/exchange/marks.go
@@ -7,7 +7,7 @@
 )
 
 // The crash marks of a daemon pass to the others in two ways. The newest ones are in each message
-// for a while, so that all daemons have them within a round. A daemon that missed them, because it
+// to a daemon that isn't known to have them, so that all daemons have them within a round. A daemon that missed them, because it
 // started later or was cut off, is recognised by the digest of its marks, and gets those that it
 // lacks. Messages between daemons with the same marks carry the digest alone.
 
@@ -35,10 +35,14 @@
 // lacks as soon as it has stated which ones it has.
 func (x *Exchange) addMarks(m *Message, p *Peer) {
 	now := time.Now()
-	m.Marks = x.Marks.Recent(now, markRelayPeriod)
 	digests := x.Marks.Digests(now)
 	m.MarksDigest = digests.Sum()
-	if p == nil || !p.marks.stated || p.marks.digest == m.MarksDigest {
+	isStated := p != nil && p.marks.stated
+	if isStated && p.marks.digest == m.MarksDigest {
+		return
+	}
+	m.Marks = x.Marks.Recent(now, markRelayPeriod)
+	if !isStated {
 		return
 	}
 	if m.MarksDigest != 0 {
--- a/exchange/marks_test.go
+++ b/exchange/marks_test.go
@@ -91,6 +91,22 @@
 	}
 }
 
+// Guards against new marks that are sent in each message, although the receiver has stated that it has
+// them.
+func TestNewMarksAreSentOnce(t *testing.T) {
+	for _, count := range []int{4, 30} {
+		n, all := newMarkedFleet(count, []uint64{7, 8, 9})
+		all[0].Marks.RecordCrash(time.Now(), "t4@4", []uint64{10})
+		n.runRounds(all)
+		for _, x := range all {
+			qt.Assert(t, x.Marks.Marked(time.Now(), 10), qt.IsTrue)
+			for address, name := range x.addresses(n.at, roundKind{polling: true}) {
+				qt.Assert(t, x.newMessage(false, name).Marks, qt.HasLen, 0, qt.Commentf("to %s", address))
+			}
+		}
+	}
+}
+
 // Guards against messages without a bound, and against marks beyond the bound that are never sent.
 func TestManyMarks(t *testing.T) {
 	requests := make([]uint64, 1300)
