Keep the crash marks of suspect requests in the store

Cause: what is known of crashes was held by the daemons only, and no peer is left that has it.

Change: quarantine.Archive writes the marks of requests with two or more of them to the store, through the live daemon that comes first by a hash, and each daemon reads them with its first configuration, before it serves.

--- a/edge/build.go
+++ b/edge/build.go
@@ -48,6 +48,11 @@
 	d.buildRollouts()
 	d.buildTargets()
 	d.buildHandler()
+	d.archive = &quarantine.Archive{
+		Registry: d.quarantine, KeyValue: d.Store, Logger: d.Logger,
+		Stored: func() map[uint64]quarantine.Suspect { return d.mirror.View().Suspects },
+		Rank:   func() int { return d.writerRank(quarantine.KeyPrefix) },
+	}
 	d.links = &link.Server{Address: d.Settings.LinkAddress, Logger: d.Logger}
 	return d.links.Register(exchange.Service, d.exchange.Receiver())
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -68,6 +68,7 @@
 	table      *placement.Table
 	admission  *admission.Controller
 	quarantine *quarantine.Registry
+	archive    *quarantine.Archive
 	segments   *quarantine.Segments
 	rollouts   *rollout.Controller
 	memory     *memory.Budget
@@ -99,7 +100,7 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, running := errgroup.WithContext(running)
-	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload, d.logLoad, d.rollouts.Run} {
+	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload, d.logLoad, d.rollouts.Run, d.archive.Run} {
 		g.Go(func() error { return run(running) })
 	}
 	for _, s := range servers {
--- /dev/null
+++ b/edge/quarantine_test.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// serveCrashing starts targets i-0, i-1 and so on of the service "desk". Each crashes for good when it
+// receives the body "poison". It returns the number of crashes.
+func (r *rig) serveCrashing(count int) *atomic.Int32 {
+	r.t.Helper()
+	crashes := &atomic.Int32{}
+	for i := range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(r.t, err, qt.IsNil)
+		r.t.Cleanup(func() { _ = l.Close() })
+		s := &targetServer{id: fmt.Sprint("i-", i), service: "desk", address: l.Addr().String()}
+		handler := &http.Server{}
+		handler.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			body, _ := io.ReadAll(q.Body)
+			if string(body) == "poison" {
+				crashes.Add(1)
+				_ = l.Close()
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
+			w.Header().Set("Server-Signature", "s")
+		})
+		go func() { _ = handler.Serve(l) }()
+		r.t.Cleanup(func() { _ = handler.Close() })
+		r.list(s, "ready")
+	}
+	return crashes
+}
+
+// Guards against a request that crashes targets anew after all daemons have ended at the same time,
+// because what is known of its crashes ended with them.
+func TestQuarantineOutlivesAllDaemons(t *testing.T) {
+	r := newRig(t)
+	crashes := r.serveCrashing(6)
+	r.configure(plainRoute("/once/", "non_idempotent"))
+	r.start()
+	r.start()
+	r.awaitReady()
+	for n := range 2 {
+		r.await("targets", func() bool { return r.daemons[0].table.Known("i-5") })
+		assertStatus(t, ask(t, r.daemons[0], "POST", "/once/", "poison"), 502)
+		r.await("crash marks", func() bool { return len(r.daemons[1].quarantine.Marks(time.Now())) == n+1 })
+	}
+	r.await("stored crash marks", func() bool { return len(r.daemons[0].mirror.View().Suspects) == 1 })
+	for _, d := range r.daemons {
+		d.stop()
+	}
+	for _, d := range r.daemons {
+		<-d.done
+	}
+	r.daemons = nil
+	r.start()
+	r.start()
+	r.awaitReady()
+	for _, d := range r.daemons {
+		assertStatus(t, ask(t, d, "POST", "/once/", "poison"), 503)
+		assertStatus(t, ask(t, d, "POST", "/once/", "harmless"), 200)
+	}
+	qt.Assert(t, crashes.Load(), qt.Equals, int32(2))
+}
--- a/edge/request_test.go
+++ b/edge/request_test.go
@@ -248,27 +248,7 @@
 // crash every daemon refuses it, and other requests are served.
 func TestCrashingRequest(t *testing.T) {
 	r := newRig(t)
-	var crashes atomic.Int32
-	for i := range 4 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		qt.Assert(t, err, qt.IsNil)
-		t.Cleanup(func() { _ = l.Close() })
-		s := &targetServer{id: fmt.Sprint("i-", i), service: "desk", address: l.Addr().String()}
-		handler := &http.Server{}
-		handler.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-			body, _ := io.ReadAll(q.Body)
-			if string(body) == "poison" {
-				crashes.Add(1)
-				_ = l.Close()
-				panic(http.ErrAbortHandler)
-			}
-			w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
-			w.Header().Set("Server-Signature", "s")
-		})
-		go func() { _ = handler.Serve(l) }()
-		t.Cleanup(func() { _ = handler.Close() })
-		r.list(s, "ready")
-	}
+	crashes := r.serveCrashing(4)
 	r.configure(plainRoute("/once/", "non_idempotent"))
 	one := r.start()
 	two := r.start()
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -23,7 +23,7 @@
 	d.rollouts = &rollout.Controller{
 		Plan:         rollout.Plan{ExposureShare: s.ExposureShare, ExposureSlack: s.ExposureSlack, StaleLimit: stale},
 		RollbackTime: s.RollbackTime, MirrorAge: d.mirrorAge, Daemons: d.listDaemons, StoreLost: d.storeLost,
-		Rank:         d.rolloutRank,
+		Rank:         d.writerRank,
 		PeerEvidence: func() map[string]rollout.Evidence { return d.exchange.Totals().Rollouts }, Running: d.requestsAt,
 		Store: d.Store, OrderKey: platform.RolloutKey, Status: platform.RolloutStatus, Logger: d.Logger,
 	}
@@ -59,14 +59,15 @@
 	return n
 }
 
-// rolloutRank returns the position of this daemon in the order in which the daemons may write a
-// step of the service's roll-out: the live ones that reach the store, by hash. A daemon with
-// contact to no more than half of the fleet lacks evidence and gets rollout.NoRank.
-func (d *Daemon) rolloutRank(service string) int {
+// writerRank returns the position of this daemon in the order in which the daemons may write what
+// the name stands for, as the steps of a service's roll-out: the live ones that reach the store, by
+// hash. A daemon with contact to no more than half of the fleet lacks evidence and gets
+// rollout.NoRank.
+func (d *Daemon) writerRank(name string) int {
 	if d.leaving.Load() || !d.mirror.Connected() {
 		return rollout.NoRank
 	}
-	hash := func(daemon string) uint64 { return xxhash.Sum64String(service + "\x00" + daemon) }
+	hash := func(daemon string) uint64 { return xxhash.Sum64String(name + "\x00" + daemon) }
 	now, live, higher := clock.Now(), 1, 0
 	for _, p := range d.exchange.Peers() {
 		if !p.Live(now) {
--- a/edge/view.go
+++ b/edge/view.go
@@ -1,6 +1,11 @@
 package edge
 
-import "rattanline.example/rattanline/mirror"
+import (
+	"strconv"
+	"time"
+
+	"rattanline.example/rattanline/mirror"
+)
 
 // viewChanged applies a new view of the store and logs the changed records.
 func (d *Daemon) viewChanged(v *mirror.View, records []mirror.Record) {
@@ -24,6 +29,10 @@
 		case mirror.Rollout:
 			o := v.Rollouts[r.Service]
 			e.Str("service", r.Service).Str("to", o.To).Dur("duration", o.Duration).Msg("order of a roll-out changed")
+		case mirror.Suspect:
+			_, present := v.Suspects[r.Fingerprint]
+			d.quarantine.Restore(time.Now(), r.Marks)
+			e.Str("fingerprint", strconv.FormatUint(r.Fingerprint, 16)).Int("marks", len(r.Marks)).Bool("present", present).Msg("stored crash marks changed")
 		case mirror.RolloutState:
 			s := v.RolloutStates[r.Service]
 			e.Str("service", r.Service).Str("to", s.To).Str("phase", string(s.Phase)).Msg("roll-out changed")
@@ -41,7 +50,7 @@
 		if t := v.Targets[r.Name]; !t.Leaving && t.Removed == 0 {
 			return
 		}
-	case mirror.Member:
+	case mirror.Member, mirror.Suspect:
 		return
 	}
 	if d.exchange.IsHub() {
--- a/mirror/record.go
+++ b/mirror/record.go
@@ -15,7 +15,7 @@
 )
 
 // Record is the decoded entry of one key: one of Configuration, Evacuation, Target,
-// Member, Rollout and RolloutState.
+// Member, Rollout, RolloutState and Suspect.
 type Record interface{ isRecord() }
 
 // Configuration is a version of the configuration. A view ignores versions lower
--- a/mirror/view.go
+++ b/mirror/view.go
@@ -11,6 +11,7 @@
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/quarantine"
 )
 
 // View is an immutable state of the mirror.
@@ -30,6 +31,8 @@
 	// Rollouts holds the operators' orders and RolloutStates how far they are, by service.
 	Rollouts      map[string]Rollout
 	RolloutStates map[string]RolloutState
+	// Suspects holds the stored crash marks of requests, by fingerprint.
+	Suspects map[uint64]quarantine.Suspect
 
 	entries map[string]port.Entry
 	log     changeLog
@@ -58,6 +61,7 @@
 		Evacuated: map[string]bool{}, Restored: map[string]clock.Instant{}, Targets: map[string]Target{},
 		Members: map[string]Member{}, entries: map[string]port.Entry{},
 		Rollouts: map[string]Rollout{}, RolloutStates: map[string]RolloutState{},
+		Suspects: map[uint64]quarantine.Suspect{},
 	}
 }
 
@@ -66,6 +70,7 @@
 	n.Evacuated, n.Restored = maps.Clone(v.Evacuated), maps.Clone(v.Restored)
 	n.Targets, n.Members, n.entries = maps.Clone(v.Targets), maps.Clone(v.Members), maps.Clone(v.entries)
 	n.Rollouts, n.RolloutStates = maps.Clone(v.Rollouts), maps.Clone(v.RolloutStates)
+	n.Suspects = maps.Clone(v.Suspects)
 	return &n
 }
 
@@ -137,6 +142,8 @@
 	case RolloutState:
 		r.Received = now
 		v.RolloutStates[r.Service] = r
+	case Suspect:
+		v.Suspects[r.Fingerprint] = r.Suspect
 	}
 	return true
 }
@@ -157,6 +164,8 @@
 		delete(v.Rollouts, r.Service)
 	case RolloutState:
 		delete(v.RolloutStates, r.Service)
+	case Suspect:
+		delete(v.Suspects, r.Fingerprint)
 	}
 }
 
@@ -183,6 +192,9 @@
 	if strings.HasPrefix(e.Key, RolloutPrefix) {
 		return decodeRolloutState(e)
 	}
+	if strings.HasPrefix(e.Key, quarantine.KeyPrefix) {
+		return decodeSuspect(e)
+	}
 	return m.Decode(e)
 }
 
@@ -193,5 +205,8 @@
 	if service, ok := strings.CutPrefix(key, RolloutPrefix); ok {
 		return RolloutState{Service: service}
 	}
+	if strings.HasPrefix(key, quarantine.KeyPrefix) {
+		return suspectOf(key)
+	}
 	return m.DecodeRemoval(key)
 }
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -125,13 +125,7 @@
 // the second one, the request was the only marked one at the target, and neither
 // crash was late.
 func (r *Registry) quarantined(now time.Time, fingerprint uint64) bool {
-	marks := make([]Mark, 0, len(r.marks[fingerprint]))
-	for _, m := range r.marks[fingerprint] {
-		if m.counts() {
-			marks = append(marks, m)
-		}
-	}
-	sort.Slice(marks, func(i, j int) bool { return older(marks[i], marks[j]) })
+	marks := r.counting(fingerprint)
 	for i, m := range marks {
 		if now.Before(m.crashTime().Add(period)) && r.suffices(m, marks[:i]) {
 			return true
@@ -210,6 +204,50 @@
 	return r.digests != before
 }
 
+// clockDifference is the largest difference of the wall clocks of two daemons.
+const clockDifference = time.Minute
+
+// Restore adds stored marks, and reports whether that changed anything. Marks of crashes in the
+// future are ignored, since they would expire too late.
+func (r *Registry) Restore(now time.Time, marks []Mark) bool {
+	var plausible []Mark
+	for _, m := range marks {
+		if !m.crashTime().After(now.Add(clockDifference)) {
+			plausible = append(plausible, m)
+		}
+	}
+	return len(plausible) > 0 && r.Merge(now, plausible)
+}
+
+// Suspects returns the requests with two or more marks that count, those with the newest marks
+// first if there are more than maxSuspects.
+func (r *Registry) Suspects(now time.Time) []Suspect {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	var list []Suspect
+	for f := range r.marks {
+		if marks := r.counting(f); len(marks) >= 2 {
+			list = append(list, Suspect{f, marks[max(0, len(marks)-maxStoredMarks):]})
+		}
+	}
+	newest := func(s Suspect) Mark { return s.Marks[len(s.Marks)-1] }
+	sort.Slice(list, func(i, j int) bool { return older(newest(list[j]), newest(list[i])) })
+	return list[:min(len(list), maxSuspects)]
+}
+
+// counting returns the marks of the request that count, oldest first.
+func (r *Registry) counting(fingerprint uint64) []Mark {
+	marks := make([]Mark, 0, len(r.marks[fingerprint]))
+	for _, m := range r.marks[fingerprint] {
+		if m.counts() {
+			marks = append(marks, m)
+		}
+	}
+	sort.Slice(marks, func(i, j int) bool { return older(marks[i], marks[j]) })
+	return marks
+}
+
 // add adds the mark, or merges it with an existing one of the same request and crash.
 func (r *Registry) add(m Mark) {
 	if r.marks == nil {
