Don't quarantine requests that targets answer

They have the same content each time, so one of them was in flight at each crash.

Cause: the quarantine of whole requests counts presence at crashes only; three are enough, although targets answer the same content all the time.

Change: a complete answer to a request refutes all its marks until then, at all daemons, not only late ones. A request that crashes the targets that run it gets none. A refuted request is no other suspect beside it either.

--- a/quarantine/mark.go
+++ b/quarantine/mark.go
@@ -23,9 +23,9 @@
 	Expires  time.Time
 }
 
-// counts reports whether the mark is evidence against the request. A request that crashes targets
-// some time after they began to answer it gets no complete answer.
-func (m Mark) counts() bool { return !m.Late || !m.Answered }
+// counts reports whether the mark is evidence against the request. A request that crashes the
+// targets that run it gets no complete answer.
+func (m Mark) counts() bool { return !m.Answered }
 
 // crashTime returns the time of the crash that the mark records.
 func (m Mark) crashTime() time.Time { return m.Expires.Add(-markLifetime) }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -30,13 +30,12 @@
 	Marks []Mark
 }
 
-// storedMark is a Mark in an entry.
+// storedMark is a Mark in an entry. Refuted ones aren't stored.
 type storedMark struct {
-	Crash    string    `json:"crash"`
-	Alone    bool      `json:"alone,omitempty"`
-	Late     bool      `json:"late,omitempty"`
-	Answered bool      `json:"answered,omitempty"`
-	Expires  time.Time `json:"expires"`
+	Crash   string    `json:"crash"`
+	Alone   bool      `json:"alone,omitempty"`
+	Late    bool      `json:"late,omitempty"`
+	Expires time.Time `json:"expires"`
 }
 
 // equal reports whether both hold the same marks.
@@ -63,7 +62,7 @@
 func (s Suspect) write() (port.Write, error) {
 	list := make([]storedMark, 0, len(s.Marks))
 	for _, m := range s.Marks {
-		list = append(list, storedMark{m.Crash, m.Alone, m.Late, m.Answered, m.Expires})
+		list = append(list, storedMark{m.Crash, m.Alone, m.Late, m.Expires})
 	}
 	value, err := json.Marshal(list)
 	if err != nil {
@@ -90,7 +89,7 @@
 		if m.Crash == "" || len(m.Crash) > maxCrashName {
 			return Suspect{}, errors.Errorf("name of a crash with %d bytes in %s", len(m.Crash), e.Key)
 		}
-		s.Marks = append(s.Marks, Mark{fingerprint, m.Crash, m.Alone, m.Late, m.Answered, m.Expires})
+		s.Marks = append(s.Marks, Mark{Fingerprint: fingerprint, Crash: m.Crash, Alone: m.Alone, Late: m.Late, Expires: m.Expires})
 	}
 	return s, nil
 }
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -47,8 +47,8 @@
 	r.record(now, crash, fingerprints, false)
 }
 
-// RecordLateCrash does the same for requests whose answers had gone on. Three late marks are
-// needed for a quarantine, and a complete answer refutes them.
+// RecordLateCrash does the same for requests whose answers had gone on. Late marks quarantine
+// only as part of three.
 func (r *Registry) RecordLateCrash(now time.Time, crash string, fingerprints []uint64) {
 	r.record(now, crash, fingerprints, true)
 }
@@ -60,7 +60,7 @@
 	crash = r.crashName(now, crash)
 	marked := map[uint64]bool{}
 	for _, f := range fingerprints {
-		if len(r.marks[f]) > 0 {
+		if len(r.counting(f)) > 0 {
 			marked[f] = true
 		}
 	}
@@ -76,12 +76,13 @@
 	r.evictOldest()
 }
 
-// RecordAnswer records that a target has completed an answer to the request.
+// RecordAnswer records that a target has completed an answer to the request, which refutes its
+// marks: callers may send the same content so often that it is in flight at most crashes.
 func (r *Registry) RecordAnswer(fingerprint uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.marks[fingerprint] {
-		if m.Late && !m.Answered {
+		if !m.Answered {
 			m.Answered = true
 			r.add(m)
 		}
@@ -162,7 +163,7 @@
 			continue
 		}
 		for crash, other := range r.marks[f] {
-			if crash != m.Crash && other.crashTime().Before(m.crashTime()) && m.crashTime().Sub(other.crashTime()) < period {
+			if crash != m.Crash && other.counts() && other.crashTime().Before(m.crashTime()) && m.crashTime().Sub(other.crashTime()) < period {
 				return false
 			}
 		}
