Don't take a reset during an upload for the end of a response

The kernel reports a reset to one caller only. If that is the goroutine that writes the request, the one that reads the response sees a regular end, which is the end of an unframed response.

Change: at the end of an unframed response the upload is asked for its error, for at most 100 ms; one that goes on means a regular end. Framed responses aren't affected.

--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -301,3 +303,33 @@
 	t.Helper()
 	qt.Assert(t, a.status, qt.Equals, status, qt.Commentf("%v %s", a.err, a.body))
 }
+
+// serveRaw starts a target of the service that reads the head of a request only, answers with the raw
+// bytes, in which it replaces ID by the request ID, and resets the connection.
+func (r *rig) serveRaw(service, id, raw string) *targetServer {
+	r.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(r.t, err, qt.IsNil)
+	r.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_ = c.(*net.TCPConn).SetLinger(0)
+				q, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, strings.ReplaceAll(raw, "ID", q.Header.Get("Request-Id")))
+				time.Sleep(20 * time.Millisecond) // the daemon reads what has arrived, and goes on to write
+			}()
+		}
+	}()
+	s := &targetServer{id: id, service: service, address: l.Addr().String()}
+	r.list(s, "ready")
+	return s
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -57,9 +57,9 @@
 }
 
 // write sends the request and returns the number of bytes written. A small body is
-// written together with the head. A larger body is written concurrently, and the
-// channel receives the result; the number of bytes is then 1.
-func (c *conn) write(call Call) (chan error, int, error) {
+// written together with the head. A larger body is written concurrently, by the returned upload;
+// the number of bytes is then 1.
+func (c *conn) write(call Call) (*upload, int, error) {
 	c.inFlight.Store(true)
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.URI, call.Host)
@@ -75,12 +75,7 @@
 		n, err := c.Write(head.Bytes())
 		return nil, n, err
 	}
-	bodyWritten := make(chan error, 1)
-	go func() {
-		_, err := (&net.Buffers{head.Bytes(), call.Body}).WriteTo(c.Conn)
-		bodyWritten <- err
-	}()
-	return bodyWritten, 1, nil
+	return startUpload(c.Conn, net.Buffers{head.Bytes(), call.Body}), 1, nil
 }
 
 // read returns the response that belongs to the call.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -134,7 +134,7 @@
 		p.discard(cn)
 		return nil, &SendError{Err: cause}
 	}
-	bodyWritten, n, err := cn.write(c)
+	upload, n, err := cn.write(c)
 	if err != nil && n == 0 {
 		stop()
 		p.discard(cn)
@@ -147,11 +147,11 @@
 	if err != nil {
 		return fail(fmt.Errorf("read response: %w", err))
 	}
-	if bodyWritten == nil {
+	if upload == nil {
 		cn.inFlight.Store(false) // the target responds to a request that it has received
 	}
 	r := &Reply{
-		Response: response, Reused: reused, pool: p, conn: cn, stop: stop, bodyWritten: bodyWritten,
+		Response: response, Reused: reused, pool: p, conn: cn, stop: stop, upload: upload,
 		framed: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 	}
 	return r, nil
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -82,10 +82,62 @@
 	qt.Assert(t, err, qt.IsNil)
 	_, err = io.ReadAll(reply)
 	qt.Assert(t, err, qt.IsNil)
-	for len(reply.bodyWritten) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-reply.upload.done
 	qt.Assert(t, reply.Close(), qt.IsNil)
 	close(closed)
 	qt.Assert(t, <-received, qt.IsNil)
 }
+
+// answerAndReset answers on the connection without a length before it has read the body of the
+// request, and then resets the connection.
+func answerAndReset(target net.Conn) {
+	_, _ = io.WriteString(target, "HTTP/1.1 200 OK\r\n\r\npart of the body")
+	time.Sleep(20 * time.Millisecond) // the caller reads what has arrived, and goes on to write
+	_ = target.(*net.TCPConn).SetLinger(0)
+	_ = target.Close()
+}
+
+// Guards against a part of a response that counts as a complete one, because the connection was reset
+// while the body of the request was being written: the kernel reports the reset once, to the writer,
+// and the end of the input to the reader.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	const attempts = 20
+	for range attempts {
+		address, accepted := newStalledTarget(t)
+		go func() { answerAndReset(<-accepted) }()
+		p := &Pool{}
+		reply, err := p.Send(t.Context(), Call{
+			Address: address, Key: "target", Method: http.MethodPost, URI: "/", Host: "target", Body: []byte(strings.Repeat("x", 8<<20)),
+		})
+		qt.Assert(t, err, qt.IsNil)
+		body, err := io.ReadAll(reply)
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%q counts as complete", body))
+		qt.Assert(t, reply.Complete(), qt.IsFalse)
+		qt.Assert(t, reply.Close(), qt.IsNil)
+	}
+}
+
+// Guards against the loss of a response that ends regularly with its connection, although the target
+// reads the body of the request only later.
+func TestResponseEndsBeforeUpload(t *testing.T) {
+	address, accepted := newStalledTarget(t)
+	ended := make(chan bool)
+	go func() {
+		target := <-accepted
+		_, _ = io.WriteString(target, "HTTP/1.1 200 OK\r\n\r\nwhole body")
+		_ = target.(*net.TCPConn).CloseWrite()
+		<-ended
+		_ = target.Close()
+	}()
+	p := &Pool{}
+	reply, err := p.Send(t.Context(), Call{
+		Address: address, Key: "target", Method: http.MethodPost, URI: "/", Host: "target", Body: []byte(strings.Repeat("x", 8<<20)),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(reply)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Equals, "whole body")
+	qt.Assert(t, reply.Complete(), qt.IsTrue)
+	qt.Assert(t, reply.Close(), qt.IsNil)
+	close(ended)
+}
