Treat a response whose status is out of range as none

Callers of other systems saw: a target in trouble sends a response with the status 000, and the caller gets it as an answer (MIXED).

Cause: nothing checked the range of the status. Here 000 and 099 made net/http panic as the response was written, which ended the caller's connection without an answer; 600 and 999 were passed on.

Change: a head with a status below 100 or above 599 is a malformed response, as one that can't be parsed: 502, or another target where the route allows it.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -27,6 +27,8 @@
 	// is read. A larger one is written concurrently, because the target may respond
 	// before it has read the body.
 	maxInlineBodyBytes = 8 << 10
+	// minStatus and maxStatus are the range of status codes.
+	minStatus, maxStatus = 100, 599
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
 	// maxStaleBodyBytes bounds the body of a late response that is skipped.
@@ -109,10 +111,25 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
+// statusError reports a response whose status is outside the range of the protocol.
+type statusError string
+
+// Error implements error.
+func (e statusError) Error() string { return "status " + string(e) + " out of range" }
+
+// readHead reads the head of a response. One with a status out of range is none: no caller could
+// understand it.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.head.N = maxHeadBytes
 	defer func() { c.head.N = math.MaxInt64 }()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, fmt.Errorf("head of a response: %w", err)
+	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return nil, statusError(response.Status)
+	}
+	return response, nil
 }
 
 // skip reads a response to another request to its end. The connection is not used again,
