Reserve the memory of long events

Operators of other systems saw: a faulty server sends bytes that are no answer, without end; the machine keeps them all, runs out of memory, and the requests of other clients end with it (LOST).

Cause: here a head is bounded by 64 KiB, a body by 16 KiB before it is forwarded, but a stream's event by 256 KiB for each request, outside of the budget for what is held for requests. 400 streams that got 256 KiB each without the end of an event held 124 MB, and hosts have 112 MB and more.

Change: from 16 KiB on the memory of an event is reserved from the budget before more of it is read, and a stream whose event doesn't fit breaks off. Buffers above that size aren't kept for other streams.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -128,6 +128,9 @@
 	c.spool()
 	reader := upstream.NewEventReader(reply, maxEventBytes)
 	defer reader.Release()
+	held := c.handler.Memory.Reservation()
+	defer held.Release()
+	reader.Reserve = held.Grow
 	for first := true; ; first = false {
 		event, err := reader.Next()
 		if err == io.EOF {
--- a/upstream/event.go
+++ b/upstream/event.go
@@ -20,9 +20,16 @@
 	HasID bool
 }
 
+// unreservedEventBytes is the size of an event up to which its memory isn't reserved.
+const unreservedEventBytes = 16 << 10
+
 // EventReader reads complete events; a partial event at the end of the input is
 // an error, so that it is never forwarded.
 type EventReader struct {
+	// Reserve reserves memory for a long event before more of it is read. The event isn't read if
+	// it fails. Nil means that there is always enough.
+	Reserve func(bytes int64) error
+
 	reader *bufio.Reader
 	max    int
 	raw    []byte
@@ -44,7 +51,8 @@
 // afterwards.
 func (r *EventReader) Release() {
 	r.reader.Reset(nil)
-	if cap(r.raw) <= 64<<10 { // the buffer of a long event is not kept
+	r.Reserve = nil
+	if cap(r.raw) <= unreservedEventBytes { // the buffer of a long event is not kept
 		eventReaders.Put(r)
 	}
 }
@@ -59,9 +67,8 @@
 		start := len(r.raw)
 		for {
 			part, err := r.reader.ReadSlice('\n')
-			r.raw = append(r.raw, part...)
-			if len(r.raw) > r.max {
-				return Event{}, boundError(fmt.Sprintf("event longer than %d bytes", r.max))
+			if err := r.extend(part); err != nil {
+				return Event{}, err
 			}
 			if err == nil {
 				break
@@ -96,6 +103,26 @@
 	}
 }
 
+// extend adds a part to the event that is being read. The memory reserved for a larger buffer also
+// covers the one before it, or the copy of the data.
+func (r *EventReader) extend(part []byte) error {
+	size := len(r.raw) + len(part)
+	if size > r.max {
+		return boundError(fmt.Sprintf("event longer than %d bytes", r.max))
+	}
+	if size > cap(r.raw) {
+		larger := max(size, 2*cap(r.raw))
+		if larger > unreservedEventBytes && r.Reserve != nil {
+			if err := r.Reserve(int64(larger)); err != nil {
+				return fmt.Errorf("event of %d bytes: %w", size, err)
+			}
+		}
+		r.raw = append(make([]byte, 0, larger), r.raw...)
+	}
+	r.raw = append(r.raw, part...)
+	return nil
+}
+
 // Buffered reports whether more bytes are available without waiting.
 func (r *EventReader) Buffered() bool { return r.reader.Buffered() > 0 }
 
