Keep quarantined prompt segments in the store

Change: quarantine.Archive keeps records of any type; it holds the crash marks of requests, as before, and the quarantined segments with six of the interrupted requests each. What isn't quarantined yet isn't stored. An answer since the entry was written, at a daemon that knows it, prevails over the entry.

--- a/edge/build.go
+++ b/edge/build.go
@@ -48,15 +48,25 @@
 	d.buildRollouts()
 	d.buildTargets()
 	d.buildHandler()
-	d.archive = &quarantine.Archive{
-		Registry: d.quarantine, KeyValue: d.Store, Logger: d.Logger,
-		Stored: func() map[uint64]quarantine.Suspect { return d.mirror.View().Suspects },
-		Rank:   func() int { return d.writerRank(quarantine.KeyPrefix) },
-	}
+	d.buildArchives()
 	d.links = &link.Server{Address: d.Settings.LinkAddress, Logger: d.Logger}
 	return d.links.Register(exchange.Service, d.exchange.Receiver())
 }
 
+// buildArchives creates what keeps crashes in the store.
+func (d *Daemon) buildArchives() {
+	d.suspects = &quarantine.Archive[quarantine.Suspect]{
+		Contents: quarantine.SuspectRequests{Registry: d.quarantine}, KeyValue: d.Store, Logger: d.Logger,
+		Stored: func() map[string]quarantine.Suspect { return d.mirror.View().Suspects },
+		Rank:   func() int { return d.writerRank(quarantine.SuspectPrefix) },
+	}
+	d.poison = &quarantine.Archive[quarantine.PoisonSegment]{
+		Contents: quarantine.PoisonSegments{Segments: d.segments}, KeyValue: d.Store, Logger: d.Logger,
+		Stored: func() map[string]quarantine.PoisonSegment { return d.mirror.View().PoisonSegments },
+		Rank:   func() int { return d.writerRank(quarantine.SegmentPrefix) },
+	}
+}
+
 func (d *Daemon) buildOverload() {
 	used := d.ProcessorTime
 	if used == nil {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -68,7 +68,9 @@
 	table      *placement.Table
 	admission  *admission.Controller
 	quarantine *quarantine.Registry
-	archive    *quarantine.Archive
+	// suspects and poison keep what is known of crashes in the store.
+	suspects   *quarantine.Archive[quarantine.Suspect]
+	poison     *quarantine.Archive[quarantine.PoisonSegment]
 	segments   *quarantine.Segments
 	rollouts   *rollout.Controller
 	memory     *memory.Budget
@@ -100,7 +102,7 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, running := errgroup.WithContext(running)
-	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload, d.logLoad, d.rollouts.Run, d.archive.Run} {
+	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload, d.logLoad, d.rollouts.Run, d.suspects.Run, d.poison.Run} {
 		g.Go(func() error { return run(running) })
 	}
 	for _, s := range servers {
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -83,6 +83,48 @@
 	}
 }
 
+// restartAll ends all daemons, and then starts as many.
+func (r *rig) restartAll() {
+	r.t.Helper()
+	ended := r.daemons
+	r.daemons = nil
+	for _, d := range ended {
+		d.stop()
+	}
+	for _, d := range ended {
+		<-d.done
+	}
+	for range ended {
+		r.start()
+	}
+	r.awaitReady()
+}
+
+// Guards against a prompt segment that crashes engines anew after all daemons have ended at the same
+// time.
+func TestPoisonSegmentOutlivesAllDaemons(t *testing.T) {
+	r, f := newRig(t), &engineFleet{}
+	r.start()
+	r.start()
+	var targets []*targetServer
+	for n := range 6 {
+		targets = append(targets, f.start(r, fmt.Sprint("i-", n)))
+	}
+	r.configure(streamRoute("/chat/", false))
+	r.awaitReady(targets...)
+	for n := range 6 {
+		ask(t, r.daemons[0], "POST", "/chat/", fmt.Sprint("poison ", n), prompt(poisonSegment)...)
+		time.Sleep(300 * time.Millisecond)
+	}
+	r.await("stored segment", func() bool { return len(r.daemons[0].mirror.View().PoisonSegments) == 1 })
+	reached := f.reached.Load()
+	r.restartAll()
+	for n, d := range r.daemons {
+		assertStatus(t, ask(t, d, "POST", "/chat/", fmt.Sprint("poison again ", n), prompt(poisonSegment)...), 503)
+	}
+	qt.Assert(t, f.reached.Load(), qt.Equals, reached)
+}
+
 // Guards against a request that crashes targets anew after all daemons have ended at the same time,
 // because what is known of its crashes ended with them.
 func TestQuarantineOutlivesAllDaemons(t *testing.T) {
@@ -98,16 +140,7 @@
 		r.await("crash marks", func() bool { return len(r.daemons[1].quarantine.Marks(time.Now())) == n+1 })
 	}
 	r.await("stored crash marks", func() bool { return len(r.daemons[0].mirror.View().Suspects) == 1 })
-	for _, d := range r.daemons {
-		d.stop()
-	}
-	for _, d := range r.daemons {
-		<-d.done
-	}
-	r.daemons = nil
-	r.start()
-	r.start()
-	r.awaitReady()
+	r.restartAll()
 	for _, d := range r.daemons {
 		assertStatus(t, ask(t, d, "POST", "/once/", "poison"), 503)
 		assertStatus(t, ask(t, d, "POST", "/once/", "harmless"), 200)
--- a/edge/view.go
+++ b/edge/view.go
@@ -1,10 +1,10 @@
 package edge
 
 import (
-	"strconv"
 	"time"
 
 	"rattanline.example/rattanline/mirror"
+	"rattanline.example/rattanline/quarantine"
 )
 
 // viewChanged applies a new view of the store and logs the changed records.
@@ -30,9 +30,15 @@
 			o := v.Rollouts[r.Service]
 			e.Str("service", r.Service).Str("to", o.To).Dur("duration", o.Duration).Msg("order of a roll-out changed")
 		case mirror.Suspect:
-			_, present := v.Suspects[r.Fingerprint]
+			_, present := v.Suspects[r.Key]
 			d.quarantine.Restore(time.Now(), r.Marks)
-			e.Str("fingerprint", strconv.FormatUint(r.Fingerprint, 16)).Int("marks", len(r.Marks)).Bool("present", present).Msg("stored crash marks changed")
+			e.Str("key", r.Key).Int("marks", len(r.Marks)).Bool("present", present).Msg("stored crash marks changed")
+		case mirror.PoisonSegment:
+			_, present := v.PoisonSegments[r.Key]
+			if present {
+				quarantine.PoisonSegments{Segments: d.segments}.Restore(time.Now(), r.PoisonSegment)
+			}
+			e.Str("key", r.Key).Str("segment", r.Segment).Bool("present", present).Msg("stored poison segment changed")
 		case mirror.RolloutState:
 			s := v.RolloutStates[r.Service]
 			e.Str("service", r.Service).Str("to", s.To).Str("phase", string(s.Phase)).Msg("roll-out changed")
@@ -50,7 +56,7 @@
 		if t := v.Targets[r.Name]; !t.Leaving && t.Removed == 0 {
 			return
 		}
-	case mirror.Member, mirror.Suspect:
+	case mirror.Member, mirror.Suspect, mirror.PoisonSegment:
 		return
 	}
 	if d.exchange.IsHub() {
--- a/mirror/record.go
+++ b/mirror/record.go
@@ -15,7 +15,7 @@
 )
 
 // Record is the decoded entry of one key: one of Configuration, Evacuation, Target,
-// Member, Rollout, RolloutState and Suspect.
+// Member, Rollout, RolloutState, Suspect and PoisonSegment.
 type Record interface{ isRecord() }
 
 // Configuration is a version of the configuration. A view ignores versions lower
--- a/mirror/view.go
+++ b/mirror/view.go
@@ -31,8 +31,9 @@
 	// Rollouts holds the operators' orders and RolloutStates how far they are, by service.
 	Rollouts      map[string]Rollout
 	RolloutStates map[string]RolloutState
-	// Suspects holds the stored crash marks of requests, by fingerprint.
-	Suspects map[uint64]quarantine.Suspect
+	// Suspects and PoisonSegments hold what is stored of crashes, by key.
+	Suspects       map[string]quarantine.Suspect
+	PoisonSegments map[string]quarantine.PoisonSegment
 
 	entries map[string]port.Entry
 	log     changeLog
@@ -61,7 +62,7 @@
 		Evacuated: map[string]bool{}, Restored: map[string]clock.Instant{}, Targets: map[string]Target{},
 		Members: map[string]Member{}, entries: map[string]port.Entry{},
 		Rollouts: map[string]Rollout{}, RolloutStates: map[string]RolloutState{},
-		Suspects: map[uint64]quarantine.Suspect{},
+		Suspects: map[string]quarantine.Suspect{}, PoisonSegments: map[string]quarantine.PoisonSegment{},
 	}
 }
 
@@ -70,7 +71,7 @@
 	n.Evacuated, n.Restored = maps.Clone(v.Evacuated), maps.Clone(v.Restored)
 	n.Targets, n.Members, n.entries = maps.Clone(v.Targets), maps.Clone(v.Members), maps.Clone(v.entries)
 	n.Rollouts, n.RolloutStates = maps.Clone(v.Rollouts), maps.Clone(v.RolloutStates)
-	n.Suspects = maps.Clone(v.Suspects)
+	n.Suspects, n.PoisonSegments = maps.Clone(v.Suspects), maps.Clone(v.PoisonSegments)
 	return &n
 }
 
@@ -143,7 +144,9 @@
 		r.Received = now
 		v.RolloutStates[r.Service] = r
 	case Suspect:
-		v.Suspects[r.Fingerprint] = r.Suspect
+		v.Suspects[r.Key] = r.Suspect
+	case PoisonSegment:
+		v.PoisonSegments[r.Key] = r.PoisonSegment
 	}
 	return true
 }
@@ -165,7 +168,9 @@
 	case RolloutState:
 		delete(v.RolloutStates, r.Service)
 	case Suspect:
-		delete(v.Suspects, r.Fingerprint)
+		delete(v.Suspects, r.Key)
+	case PoisonSegment:
+		delete(v.PoisonSegments, r.Key)
 	}
 }
 
@@ -192,9 +197,12 @@
 	if strings.HasPrefix(e.Key, RolloutPrefix) {
 		return decodeRolloutState(e)
 	}
-	if strings.HasPrefix(e.Key, quarantine.KeyPrefix) {
+	if strings.HasPrefix(e.Key, quarantine.SuspectPrefix) {
 		return decodeSuspect(e)
 	}
+	if strings.HasPrefix(e.Key, quarantine.SegmentPrefix) {
+		return decodePoisonSegment(e)
+	}
 	return m.Decode(e)
 }
 
@@ -205,8 +213,8 @@
 	if service, ok := strings.CutPrefix(key, RolloutPrefix); ok {
 		return RolloutState{Service: service}
 	}
-	if strings.HasPrefix(key, quarantine.KeyPrefix) {
-		return suspectOf(key)
+	if r := removedCrashes(key); r != nil {
+		return r
 	}
 	return m.DecodeRemoval(key)
 }
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// archiveInterval is the interval at which the marks are compared with the stored ones.
+	// archiveInterval is the interval at which what is known is compared with what is stored.
 	archiveInterval = 250 * time.Millisecond
 	// archiveTakeover is by how much longer each rank waits before it writes.
 	archiveTakeover = time.Second
@@ -21,154 +21,172 @@
 	archiveWriters = 3
 	// archiveEcho is how long a write may take until the mirror shows it.
 	archiveEcho = 2 * time.Second
-	// archiveCheck is the interval at which the stored marks are read again. The service may
-	// have lost its last writes without a change that the mirror receives.
+	// archiveCheck is the interval at which the entries are read again. The service may have
+	// lost its last writes without a change that the mirror receives.
 	archiveCheck = 5 * time.Second
 	// archiveTimeout bounds one call of the service.
 	archiveTimeout = 2 * time.Second
-	// maxSuspects bounds the stored requests.
-	maxSuspects = 64
 	// maxArchiveWrites bounds the writes of one transaction.
 	maxArchiveWrites = 32
 )
 
-// Archive keeps the marks of suspect requests in the key-value service, so that they are not lost
-// when all daemons end at the same time. All daemons have the same marks, so one of them writes, and
-// another one only if that fails. Writes have no conditions: what a daemon writes contains all that
-// it received, and what two daemons overwrite or the service loses is written again by the next
+// Contents is what an Archive keeps: records of type T by key.
+type Contents[T any] interface {
+	// Prefix returns the prefix of all keys.
+	Prefix() string
+	// Known returns the records that should be stored.
+	Known(now time.Time) map[string]T
+	// Restore merges a stored record into what is known.
+	Restore(now time.Time, record T)
+	// UpToDate reports whether the stored record needs no change to hold the known one.
+	UpToDate(stored, known T) bool
+	Encode(record T) ([]byte, error)
+	// Decode decodes an entry. Other writers may have written it.
+	Decode(e port.Entry) (T, error)
+}
+
+// Archive keeps what is known of crashes in the key-value service, so that it isn't lost when all
+// daemons end at the same time. All daemons know the same, so one of them writes, and another one
+// only if that fails. Writes have no conditions: what a daemon writes contains all that it
+// received, and what two daemons overwrite or the service loses is written again by the next
 // comparison. The exported fields are set before Run.
-type Archive struct {
-	Registry *Registry
+type Archive[T any] struct {
+	Contents Contents[T]
 	KeyValue port.KeyValue
-	// Stored returns the stored marks by fingerprint, as the mirror of the service shows them.
-	Stored func() map[uint64]Suspect
+	// Stored returns the records by key, as the mirror of the service shows them.
+	Stored func() map[string]T
 	// Rank returns the position of this daemon among those that may write, zero for the first.
 	Rank   func() int
 	Logger zerolog.Logger
 
-	// due holds since when the stored marks of a request differ from the known ones. After a
-	// write it is in the future, until the mirror must show the write.
-	due     map[uint64]time.Time
+	// due holds since when a record differs from what is known. After a write it is in the
+	// future, until the mirror must show the write.
+	due     map[string]time.Time
 	checked time.Time
 }
 
-// Run keeps the marks until the context ends.
-func (a *Archive) Run(ctx context.Context) error {
+// change is a record to be written, or an entry to be removed.
+type change[T any] struct {
+	record T
+	remove bool
+}
+
+// Run keeps the records until the context ends.
+func (a *Archive[T]) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-time.After(archiveInterval):
 		}
 		if err := a.update(ctx, time.Now()); err != nil && ctx.Err() == nil {
-			a.Logger.Warn().Err(err).Str("dependency", "key-value").Msg("crash marks not stored, trying again")
+			a.Logger.Warn().Err(err).Str("dependency", "key-value").Str("prefix", a.Contents.Prefix()).Msg("crashes not stored, trying again")
 		}
 	}
 	return nil
 }
 
-// update writes what is due, and checks the stored marks if it is time to.
-func (a *Archive) update(ctx context.Context, now time.Time) error {
+// update writes what is due, and checks the entries if it is time to.
+func (a *Archive[T]) update(ctx context.Context, now time.Time) error {
 	rank := a.Rank()
 	if rank >= archiveWriters {
 		return nil
 	}
 	changes := a.compare(now, a.Stored())
-	if rank == 0 && now.Sub(a.checked) >= archiveCheck && len(a.Registry.Suspects(now)) > 0 {
+	if rank == 0 && now.Sub(a.checked) >= archiveCheck && len(a.Contents.Known(now)) > 0 {
 		a.checked = now
 		return a.check(ctx, now)
 	}
-	return a.commit(ctx, now, a.claim(changes, now, time.Duration(rank)*archiveTakeover))
+	return a.commit(ctx, now, a.dueChanges(changes, now, time.Duration(rank)*archiveTakeover))
 }
 
-// compare merges the stored marks into the known ones and returns the requests whose stored marks
-// must change. One without marks is no longer suspect and must be removed.
-func (a *Archive) compare(now time.Time, stored map[uint64]Suspect) map[uint64]Suspect {
-	for _, s := range stored {
-		a.Registry.Restore(now, s.Marks)
+// compare merges the stored records into what is known, and returns by key what must change.
+func (a *Archive[T]) compare(now time.Time, stored map[string]T) map[string]change[T] {
+	for _, record := range stored {
+		a.Contents.Restore(now, record)
 	}
-	changes := map[uint64]Suspect{}
-	for f := range stored {
-		changes[f] = Suspect{Fingerprint: f}
+	known := a.Contents.Known(now)
+	changes := map[string]change[T]{}
+	for key := range stored {
+		if _, ok := known[key]; !ok {
+			changes[key] = change[T]{remove: true}
+		}
 	}
-	for _, s := range a.Registry.Suspects(now) {
-		if s.equal(stored[s.Fingerprint]) {
-			delete(changes, s.Fingerprint)
-			continue
+	for key, record := range known {
+		if old, ok := stored[key]; !ok || !a.Contents.UpToDate(old, record) {
+			changes[key] = change[T]{record: record}
 		}
-		changes[s.Fingerprint] = s
 	}
 	return changes
 }
 
-// claim returns the changes that have been due for the delay.
-func (a *Archive) claim(changes map[uint64]Suspect, now time.Time, delay time.Duration) []Suspect {
-	due := map[uint64]time.Time{}
-	var claimed []Suspect
-	for f, s := range changes {
-		since, known := a.due[f]
+// dueChanges returns the changes that have been due for the delay.
+func (a *Archive[T]) dueChanges(changes map[string]change[T], now time.Time, delay time.Duration) map[string]change[T] {
+	due, ready := map[string]time.Time{}, map[string]change[T]{}
+	for key, c := range changes {
+		since, known := a.due[key]
 		if !known {
 			since = now
 		}
-		due[f] = since
+		due[key] = since
 		if now.Sub(since) >= delay {
-			claimed = append(claimed, s)
+			ready[key] = c
 		}
 	}
 	a.due = due
-	return claimed
+	return ready
 }
 
-// check reads the stored marks from the service itself and writes what differs.
-func (a *Archive) check(ctx context.Context, now time.Time) error {
+// check reads the entries from the service itself and writes what differs.
+func (a *Archive[T]) check(ctx context.Context, now time.Time) error {
 	limited, cancel := context.WithTimeout(ctx, archiveTimeout)
 	defer cancel()
-	entries, err := a.KeyValue.List(limited, KeyPrefix)
+	entries, err := a.KeyValue.List(limited, a.Contents.Prefix())
 	if err != nil {
-		return fmt.Errorf("read crash marks: %w", err)
+		return fmt.Errorf("read entries: %w", err)
 	}
-	stored := map[uint64]Suspect{}
+	stored := map[string]T{}
 	for _, e := range entries {
-		s, err := DecodeSuspect(e)
+		record, err := a.Contents.Decode(e)
 		if err != nil { // of another writer
-			a.Logger.Warn().Err(err).Msg("crash marks unreadable")
+			a.Logger.Warn().Err(err).Str("key", e.Key).Msg("entry unreadable")
 			continue
 		}
-		stored[s.Fingerprint] = s
+		stored[e.Key] = record
 	}
-	return a.commit(ctx, now, slices.Collect(maps.Values(a.compare(now, stored))))
+	return a.commit(ctx, now, a.compare(now, stored))
 }
 
-// commit writes the marks of the requests, or removes those without marks, as many as one
-// transaction takes.
-func (a *Archive) commit(ctx context.Context, now time.Time, changes []Suspect) error {
+// commit writes the changes, as many as one transaction takes.
+func (a *Archive[T]) commit(ctx context.Context, now time.Time, changes map[string]change[T]) error {
 	if len(changes) == 0 {
 		return nil
 	}
-	changes = changes[:min(len(changes), maxArchiveWrites)]
+	keys := slices.Sorted(maps.Keys(changes))
+	keys = keys[:min(len(keys), maxArchiveWrites)]
 	var t port.Transaction
-	for _, s := range changes {
-		if len(s.Marks) == 0 {
-			t.Writes = append(t.Writes, port.Write{Key: keyOf(s.Fingerprint), Delete: true})
-			continue
-		}
-		w, err := s.write()
-		if err != nil {
-			return err
+	for _, key := range keys {
+		w := port.Write{Key: key, Delete: changes[key].remove}
+		if !w.Delete {
+			value, err := a.Contents.Encode(changes[key].record)
+			if err != nil {
+				return fmt.Errorf("encode %s: %w", key, err)
+			}
+			w.Value = value
 		}
 		t.Writes = append(t.Writes, w)
 	}
 	limited, cancel := context.WithTimeout(ctx, archiveTimeout)
 	defer cancel()
 	if _, err := a.KeyValue.Commit(limited, t); err != nil {
-		return fmt.Errorf("write crash marks: %w", err)
+		return fmt.Errorf("write entries: %w", err)
 	}
 	if a.due == nil {
-		a.due = map[uint64]time.Time{}
+		a.due = map[string]time.Time{}
 	}
-	for _, s := range changes {
-		a.due[s.Fingerprint] = now.Add(archiveEcho)
+	for _, key := range keys {
+		a.due[key] = now.Add(archiveEcho)
 	}
-	storedSuspects.Add(len(changes))
-	a.Logger.Info().Int("requests", len(changes)).Msg("crash marks stored")
+	archiveWrites.Add(len(keys))
+	a.Logger.Info().Str("prefix", a.Contents.Prefix()).Int("entries", len(keys)).Msg("crashes stored")
 	return nil
 }
--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -11,7 +11,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/request"
 )
 
 // entries is a port.KeyValue with the calls that an Archive makes.
@@ -53,22 +55,29 @@
 }
 
 // stored decodes the entries, as a mirror does.
-func (s *entries) stored() map[uint64]Suspect {
-	view := map[uint64]Suspect{}
+func (s *entries) stored() map[string]Suspect {
+	view := map[string]Suspect{}
 	for key, value := range s.values {
 		if suspect, err := DecodeSuspect(port.Entry{Key: key, Value: value}); err == nil {
-			view[suspect.Fingerprint] = suspect
+			view[key] = suspect
 		}
 	}
 	return view
 }
 
-func newArchive(s *entries, rank int) *Archive {
-	return &Archive{Registry: &Registry{}, KeyValue: s, Stored: s.stored, Rank: func() int { return rank }, Logger: zerolog.Nop()}
+// archive is an Archive of suspect requests with its registry.
+type archive struct {
+	*Archive[Suspect]
+	Registry *Registry
+}
+
+func newArchive(s *entries, rank int) archive {
+	r := &Registry{}
+	return archive{&Archive[Suspect]{Contents: SuspectRequests{r}, KeyValue: s, Stored: s.stored, Rank: func() int { return rank }, Logger: zerolog.Nop()}, r}
 }
 
 // advance updates the archives for the time, and returns its end.
-func advance(now time.Time, d time.Duration, archives ...*Archive) time.Time {
+func advance(now time.Time, d time.Duration, archives ...archive) time.Time {
 	for end := now.Add(d); now.Before(end); now = now.Add(archiveInterval) {
 		for _, a := range archives {
 			_ = a.update(context.Background(), now)
@@ -78,7 +87,7 @@
 }
 
 // crash marks the requests by the numbered crash.
-func (a *Archive) crash(at time.Time, n int, requests ...uint64) {
+func (a archive) crash(at time.Time, n int, requests ...uint64) {
 	a.Registry.RecordCrash(at, fmt.Sprint("t", n), requests)
 }
 
@@ -111,15 +120,15 @@
 		now := advance(after(time.Second), time.Second, a)
 		shown = s.stored()
 		s.values = copied
-		a.Stored = func() map[uint64]Suspect { return shown } // a mirror that has not noticed
+		a.Stored = func() map[string]Suspect { return shown } // a mirror that has not noticed
 		advance(now, archiveCheck+time.Second, a)
-		c.Assert(s.stored()[poison].Marks, qt.HasLen, 3)
-		c.Assert(s.stored()[2].Marks, qt.HasLen, 2)
+		c.Assert(s.stored()[suspectKey(poison)].Marks, qt.HasLen, 3)
+		c.Assert(s.stored()[suspectKey(2)].Marks, qt.HasLen, 2)
 	})
 	c.Run("the next daemon writes if the first one doesn't", func(c *qt.C) {
 		s := newEntries()
 		a, b := newArchive(s, archiveWriters), newArchive(s, 1)
-		for _, x := range []*Archive{a, b} {
+		for _, x := range []archive{a, b} {
 			x.crash(begin, 1, poison)
 			x.crash(begin, 2, poison)
 		}
@@ -147,7 +156,7 @@
 		b.crash(begin, 3, poison)
 		b.crash(begin, 4, poison)
 		now := advance(begin, 10*time.Second, a, b)
-		c.Assert(s.stored()[poison].Marks, qt.HasLen, 4)
+		c.Assert(s.stored()[suspectKey(poison)].Marks, qt.HasLen, 4)
 		calls := s.calls
 		advance(now, archiveCheck/2, a, b)
 		c.Assert(s.calls-calls <= 2, qt.IsTrue) // no more writes
@@ -187,7 +196,7 @@
 		}
 		advance(after(time.Minute), 10*time.Second, a)
 		c.Assert(s.values, qt.HasLen, maxSuspects)
-		c.Assert(s.stored()[3*maxSuspects-1].Marks, qt.HasLen, 2)
+		c.Assert(s.stored()[suspectKey(3*maxSuspects-1)].Marks, qt.HasLen, 2)
 		c.Assert(s.largest <= maxArchiveWrites, qt.IsTrue)
 	})
 	c.Run("without suspects nothing is read or written", func(c *qt.C) {
@@ -199,11 +208,11 @@
 	})
 	c.Run("entries of other writers", func(c *qt.C) {
 		s := newEntries()
-		long := strings.Repeat("x", maxCrashName+1)
+		long := strings.Repeat("x", maxStoredName+1)
 		for i, value := range []string{"[", "{}", `[{"crash":""}]`, `[{"crash":"` + long + `"}]`, `[{},{},{},{},{}]`, `[{"crash":"t","expires":7}]`} {
-			s.values[keyOf(uint64(i))] = []byte(value)
+			s.values[suspectKey(uint64(i))] = []byte(value)
 		}
-		s.values[KeyPrefix+"odd"] = []byte("[]")
+		s.values[SuspectPrefix+"odd"] = []byte("[]")
 		c.Assert(s.stored(), qt.HasLen, 0)
 		a := newArchive(s, 0)
 		a.Registry.Restore(begin, []Mark{
@@ -214,6 +223,69 @@
 		a.crash(begin, 1, poison)
 		a.crash(begin, 2, poison)
 		advance(begin, time.Second, a)
-		c.Assert(s.stored()[poison].Marks, qt.HasLen, 2)
+		c.Assert(s.stored()[suspectKey(poison)].Marks, qt.HasLen, 2)
+	})
+}
+
+// newPoisonedSegments returns what a daemon knows that has quarantined the segment.
+func newPoisonedSegments(segment request.Segment, crashes int) *Segments {
+	s := &Segments{Daemon: "d1", Logger: zerolog.Nop()}
+	for i := range crashes {
+		ended := clock.Now().Add(-time.Duration(crashes-i) * 2 * time.Second)
+		s.RecordCrash(fmt.Sprint("t", i), []Interruption{
+			{Request: uint64(i), Segments: []request.Segment{segment}, Sent: ended.Add(-time.Second), Ended: ended},
+		})
+	}
+	return s
+}
+
+// Guards against a prompt segment that crashes engines again after all daemons were killed.
+func TestPoisonSegmentArchive(t *testing.T) {
+	c, now, segment := qt.New(t), time.Now(), request.Segment{Model: "m", ID: "s"}
+	stored := func(c *qt.C, s *Segments) PoisonSegment {
+		known := PoisonSegments{s}.Known(now)
+		c.Assert(known, qt.HasLen, 1)
+		key := segmentKey(segment)
+		value, err := PoisonSegments{}.Encode(known[key])
+		c.Assert(err, qt.IsNil)
+		record, err := DecodePoisonSegment(port.Entry{Key: key, Value: value})
+		c.Assert(err, qt.IsNil)
+		c.Assert(PoisonSegments{}.UpToDate(record, known[key]), qt.IsTrue)
+		return record
+	}
+	refused := func(s *Segments, at clock.Instant) bool {
+		return s.Check(at, []request.Segment{segment}, false, false).Refused
+	}
+	c.Run("a new daemon knows the quarantine", func(c *qt.C) {
+		for _, crashes := range []int{3, 20} {
+			before, after := newPoisonedSegments(segment, crashes), &Segments{Logger: zerolog.Nop()}
+			PoisonSegments{after}.Restore(now, stored(c, before))
+			c.Assert(refused(after, clock.Now()), qt.IsTrue)
+			c.Assert(after.Status(clock.Now())[0].LastCrashSeconds < 5, qt.IsTrue) // of the newest crash
+			c.Assert(PoisonSegments{}.UpToDate(stored(c, before), PoisonSegments{after}.Known(now)[segmentKey(segment)]), qt.IsTrue)
+			c.Assert(refused(after, clock.Now().Add(probePause+time.Second)), qt.IsFalse) // a probe is due
+		}
+	})
+	c.Run("a segment that was answered since isn't quarantined again", func(c *qt.C) {
+		s := newPoisonedSegments(segment, 3)
+		record := stored(c, s)
+		s.RecordAnswer(clock.Now(), []request.Segment{segment})
+		PoisonSegments{s}.Restore(now, record)
+		c.Assert(refused(s, clock.Now()), qt.IsFalse)
+		c.Assert(PoisonSegments{s}.Known(now), qt.HasLen, 0)
+	})
+	c.Run("an expired entry", func(c *qt.C) {
+		s := &Segments{Logger: zerolog.Nop()}
+		PoisonSegments{s}.Restore(now.Add(period+time.Minute), stored(c, newPoisonedSegments(segment, 3)))
+		c.Assert(refused(s, clock.Now()), qt.IsFalse)
+	})
+	c.Run("suspect segments aren't stored", func(c *qt.C) {
+		c.Assert(PoisonSegments{newPoisonedSegments(segment, 2)}.Known(now), qt.HasLen, 0)
+	})
+	c.Run("entries of other writers", func(c *qt.C) {
+		for _, value := range []string{"[", "{}", `{"model":"m","segment":"other"}`, `{"model":"m","segment":"s","probes":-1}`, `{"model":"m","segment":"s","interrupted":[{},{},{},{},{},{},{}]}`} {
+			_, err := DecodePoisonSegment(port.Entry{Key: segmentKey(segment), Value: []byte(value)})
+			c.Check(err, qt.IsNotNil, qt.Commentf("%s", value))
+		}
 	})
 }
--- a/quarantine/metric.go
+++ b/quarantine/metric.go
@@ -6,6 +6,6 @@
 	quarantinedSegments = metrics.NewCounter("rattanline_prompt_segments_quarantined_total")
 	releasedSegments    = metrics.NewCounter("rattanline_prompt_segments_released_total")
 	segmentProbes       = metrics.NewCounter("rattanline_prompt_segment_probes_total")
-	storedSuspects      = metrics.NewCounter("rattanline_crash_mark_writes_total")
+	archiveWrites       = metrics.NewCounter("rattanline_stored_crash_changes_total")
 	segmentRefusals     = metrics.NewCounter("rattanline_prompt_segment_refusals_total")
 )
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -13,14 +13,16 @@
 	"rattanline.example/rattanline/port"
 )
 
-// KeyPrefix is the key prefix of the entries that hold the crash marks of one request each.
-const KeyPrefix = "rattanline/crash-marks/"
+// SuspectPrefix is the key prefix of the entries that hold the crash marks of one request each.
+const SuspectPrefix = "rattanline/crash-marks/"
 
 const (
 	// maxStoredMarks bounds the marks in one entry. Three suffice for a quarantine.
 	maxStoredMarks = 4
-	// maxCrashName bounds the name of a crash in an entry, in bytes.
-	maxCrashName = 256
+	// maxStoredName bounds the name of a crash in an entry, in bytes.
+	maxStoredName = 256
+	// maxSuspects bounds the stored requests.
+	maxSuspects = 64
 )
 
 // Suspect is a request that was in flight at several crashes.
@@ -38,44 +40,56 @@
 	Expires time.Time `json:"expires"`
 }
 
-// equal reports whether both hold the same marks.
-func (s Suspect) equal(o Suspect) bool {
-	return slices.EqualFunc(s.Marks, o.Marks, func(a, b Mark) bool {
+// SuspectRequests are the Contents of an Archive that holds the crash marks of suspect requests.
+type SuspectRequests struct{ *Registry }
+
+var _ Contents[Suspect] = SuspectRequests{}
+
+// Prefix implements Contents.
+func (SuspectRequests) Prefix() string { return SuspectPrefix }
+
+// Known implements Contents.
+func (r SuspectRequests) Known(now time.Time) map[string]Suspect {
+	known := map[string]Suspect{}
+	for _, s := range r.Suspects(now) {
+		known[suspectKey(s.Fingerprint)] = s
+	}
+	return known
+}
+
+// Restore implements Contents.
+func (r SuspectRequests) Restore(now time.Time, s Suspect) { r.Registry.Restore(now, s.Marks) }
+
+// UpToDate implements Contents.
+func (SuspectRequests) UpToDate(stored, known Suspect) bool {
+	return slices.EqualFunc(stored.Marks, known.Marks, func(a, b Mark) bool {
 		same := a.Expires.Equal(b.Expires)
 		a.Expires = b.Expires // may differ in its location
 		return same && a == b
 	})
 }
 
-func keyOf(fingerprint uint64) string { return KeyPrefix + strconv.FormatUint(fingerprint, 16) }
-
-// Fingerprint returns the fingerprint of the request whose marks the key holds.
-func Fingerprint(key string) (uint64, error) {
-	f, err := strconv.ParseUint(strings.TrimPrefix(key, KeyPrefix), 16, 64)
-	if err != nil {
-		return 0, fmt.Errorf("fingerprint in key %q: %w", key, err)
-	}
-	return f, nil
-}
-
-// write returns the write that stores the marks.
-func (s Suspect) write() (port.Write, error) {
+// Encode implements Contents.
+func (SuspectRequests) Encode(s Suspect) ([]byte, error) {
 	list := make([]storedMark, 0, len(s.Marks))
 	for _, m := range s.Marks {
 		list = append(list, storedMark{m.Crash, m.Alone, m.Late, m.Expires})
 	}
-	value, err := json.Marshal(list)
-	if err != nil {
-		return port.Write{}, fmt.Errorf("encode crash marks: %w", err)
-	}
-	return port.Write{Key: keyOf(s.Fingerprint), Value: value}, nil
+	return json.Marshal(list)
+}
+
+// Decode implements Contents.
+func (SuspectRequests) Decode(e port.Entry) (Suspect, error) { return DecodeSuspect(e) }
+
+func suspectKey(fingerprint uint64) string {
+	return SuspectPrefix + strconv.FormatUint(fingerprint, 16)
 }
 
-// DecodeSuspect decodes an entry. Other writers may have written it.
+// DecodeSuspect decodes an entry under SuspectPrefix. Other writers may have written it.
 func DecodeSuspect(e port.Entry) (Suspect, error) {
-	fingerprint, err := Fingerprint(e.Key)
+	fingerprint, err := strconv.ParseUint(strings.TrimPrefix(e.Key, SuspectPrefix), 16, 64)
 	if err != nil {
-		return Suspect{}, err
+		return Suspect{}, fmt.Errorf("fingerprint in key %q: %w", e.Key, err)
 	}
 	var list []storedMark
 	if err := json.Unmarshal(e.Value, &list); err != nil {
@@ -86,7 +100,7 @@
 	}
 	s := Suspect{Fingerprint: fingerprint}
 	for _, m := range list {
-		if m.Crash == "" || len(m.Crash) > maxCrashName {
+		if m.Crash == "" || len(m.Crash) > maxStoredName {
 			return Suspect{}, errors.Errorf("name of a crash with %d bytes in %s", len(m.Crash), e.Key)
 		}
 		s.Marks = append(s.Marks, Mark{Fingerprint: fingerprint, Crash: m.Crash, Alone: m.Alone, Late: m.Late, Expires: m.Expires})
