Compute the rank of an archive's writer only while crashes are known

Each daemon listed its peers eight times a second for that, which grows with the fleet. Also renames the fields of the two archives, and reflows comments.

--- a/edge/build.go
+++ b/edge/build.go
@@ -53,14 +53,14 @@
 	return d.links.Register(exchange.Service, d.exchange.Receiver())
 }
 
-// buildArchives creates what keeps crashes in the store.
+// buildArchives creates what keeps in the store which requests and prompt segments crash targets.
 func (d *Daemon) buildArchives() {
-	d.suspects = &quarantine.Archive[quarantine.Suspect]{
+	d.suspectArchive = &quarantine.Archive[quarantine.Suspect]{
 		Contents: quarantine.SuspectRequests{Registry: d.quarantine}, KeyValue: d.Store, Logger: d.Logger,
 		Stored: func() map[string]quarantine.Suspect { return d.mirror.View().Suspects },
 		Rank:   func() int { return d.writerRank(quarantine.SuspectPrefix) },
 	}
-	d.poison = &quarantine.Archive[quarantine.PoisonSegment]{
+	d.segmentArchive = &quarantine.Archive[quarantine.PoisonSegment]{
 		Contents: quarantine.PoisonSegments{Segments: d.segments}, KeyValue: d.Store, Logger: d.Logger,
 		Stored: func() map[string]quarantine.PoisonSegment { return d.mirror.View().PoisonSegments },
 		Rank:   func() int { return d.writerRank(quarantine.SegmentPrefix) },
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -68,24 +68,24 @@
 	table      *placement.Table
 	admission  *admission.Controller
 	quarantine *quarantine.Registry
-	// suspects and poison keep what is known of crashes in the store.
-	suspects   *quarantine.Archive[quarantine.Suspect]
-	poison     *quarantine.Archive[quarantine.PoisonSegment]
 	segments   *quarantine.Segments
-	rollouts   *rollout.Controller
-	memory     *memory.Budget
-	pool       *upstream.Pool
-	handler    *gateway.Handler
-	links      *link.Server
-	conns      *connTracker
-	overload   overloadDetector
-	overflow   overflow
-	shedder    admission.Shedder
-	selector   directory.Selector
-	fleetNames nameList
-	retryShare *routing.Share
-	reloadMu   sync.Mutex
-	lastLoaded setting.HostSettings // content of the settings file when last read
+	// suspectArchive and segmentArchive keep in the store what quarantine and segments know.
+	suspectArchive *quarantine.Archive[quarantine.Suspect]
+	segmentArchive *quarantine.Archive[quarantine.PoisonSegment]
+	rollouts       *rollout.Controller
+	memory         *memory.Budget
+	pool           *upstream.Pool
+	handler        *gateway.Handler
+	links          *link.Server
+	conns          *connTracker
+	overload       overloadDetector
+	overflow       overflow
+	shedder        admission.Shedder
+	selector       directory.Selector
+	fleetNames     nameList
+	retryShare     *routing.Share
+	reloadMu       sync.Mutex
+	lastLoaded     setting.HostSettings // content of the settings file when last read
 }
 
 // Run serves until the context ends, and then shuts down gracefully.
@@ -102,7 +102,10 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	g, running := errgroup.WithContext(running)
-	for _, run := range []func(context.Context) error{d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload, d.logLoad, d.rollouts.Run, d.suspects.Run, d.poison.Run} {
+	for _, run := range []func(context.Context) error{
+		d.mirror.Run, d.exchange.Run, d.register, d.links.Run, d.trim, d.watchOverload, d.logLoad, d.rollouts.Run,
+		d.suspectArchive.Run, d.segmentArchive.Run,
+	} {
 		g.Go(func() error { return run(running) })
 	}
 	for _, s := range servers {
--- a/exchange/marks.go
+++ b/exchange/marks.go
@@ -7,12 +7,13 @@
 )
 
 // The crash marks of a daemon pass to the others in two ways. The newest ones are in each message
-// to a daemon that isn't known to have them, so that all daemons have them within a round. A daemon that missed them, because it
-// started later or was cut off, is recognised by the digest of its marks, and gets those that it
-// lacks. Messages between daemons with the same marks carry the digest alone.
+// to a daemon that isn't known to have them, so that all daemons have them within a round. A
+// daemon that missed them, because it started later or was cut off, is recognised by the digest of
+// its marks, and gets those that it lacks. Messages between daemons with the same marks carry the
+// digest alone.
 
 const (
-	// markRelayPeriod is how long after a crash its mark is sent to all peers.
+	// markRelayPeriod is how long after a crash its mark is sent to peers that may lack it.
 	markRelayPeriod = 5 * time.Second
 	// maxSentMarks bounds the marks in one message in addition to the newest ones. A mark takes
 	// about 50 bytes.
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -52,9 +52,9 @@
 	Entries  []port.Entry
 	Report   Report
 	// Marks holds the newest crash marks and those that the receiver lacks, nil if the receiver
-	// last stated that it has the same ones. MarksDigest is
-	// the digest of all that the sender knows. MarkDigests are those of their parts, nil if the
-	// receiver has the same marks or the sender has none.
+	// last stated that it has the same ones. MarksDigest is the digest of all that the sender
+	// knows. MarkDigests are those of their parts, nil if the receiver has the same marks or the
+	// sender has none.
 	Marks       []quarantine.Mark
 	MarksDigest uint64
 	MarkDigests *quarantine.Digests
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -85,14 +85,19 @@
 	return nil
 }
 
-// update writes what is due, and checks the entries if it is time to.
+// update writes what is due, and checks the entries if it is time to. It costs next to nothing while
+// no crashes are known.
 func (a *Archive[T]) update(ctx context.Context, now time.Time) error {
+	stored, known := a.Stored(), a.Contents.Known(now)
+	if len(stored) == 0 && len(known) == 0 {
+		return nil
+	}
 	rank := a.Rank()
 	if rank >= archiveWriters {
 		return nil
 	}
-	changes := a.compare(now, a.Stored())
-	if rank == 0 && now.Sub(a.checked) >= archiveCheck && len(a.Contents.Known(now)) > 0 {
+	changes := a.compare(now, stored)
+	if rank == 0 && now.Sub(a.checked) >= archiveCheck {
 		a.checked = now
 		return a.check(ctx, now)
 	}
