--- a/soak/command.go
+++ b/soak/command.go
@@ -61,6 +61,7 @@
 	c.Flags().Uint64Var(&count, "seeds", 1, "number of seeds")
 	c.Flags().IntVar(&o.Daemons, "machines", 6, "number of daemons")
 	c.Flags().DurationVar(&o.FaultDuration, "duration", 20*time.Second, "how long faults are injected")
+	c.Flags().IntVar(&o.Kills, "kills", 0, "how often all daemons are killed at the same time")
 	c.Flags().StringVar(&program, "program", "", "the daemon's program; by default rattanlined beside this one")
 	c.Flags().StringVar(&keep, "logs", "", "directory in which settings and logs of all runs are kept")
 	return c
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -125,6 +125,26 @@
 	}
 }
 
+// allDownTime is how long all daemons are down after they were killed together.
+const allDownTime = 300 * time.Millisecond
+
+// killAll kills all daemons at the same time, as often as the options say. Daemons that another
+// fault restarts or freezes at that moment are left to it.
+func (c *cluster) killAll(ctx context.Context) {
+	pause := c.options.FaultDuration / time.Duration(c.options.Kills+1)
+	for range c.options.Kills {
+		sleep(ctx, pause)
+		if ctx.Err() != nil {
+			return
+		}
+		var restarts sync.WaitGroup
+		for _, p := range c.processes {
+			restarts.Go(func() { c.restart(ctx, p, syscall.SIGKILL, allDownTime) })
+		}
+		restarts.Wait()
+	}
+}
+
 // freeze stops the process with SIGSTOP for the duration. It does nothing while another
 // fault restarts or freezes the process.
 func (c *cluster) freeze(ctx context.Context, p *process, d time.Duration) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,9 @@
 	Cores float64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// Kills is how often all daemons are killed at the same time while faults are injected, at
+	// even intervals.
+	Kills int
 	// Program is the daemon's executable with its arguments.
 	Program []string
 	// Environment holds variables in the form NAME=VALUE that are added to the
@@ -108,7 +111,10 @@
 	if o.Seed%2 == 1 { // the other seeds play without it
 		c.usePoisonSegment(o.FaultDuration)
 	}
+	var kills sync.WaitGroup
+	kills.Go(func() { c.killAll(ctx) })
 	c.injectFaults(ctx, time.Now().Add(o.FaultDuration))
+	kills.Wait()
 	faultsEnded := time.Now()
 	sleep(ctx, recoverTime+finalPhase)
 	stopCalling()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,6 +55,12 @@
 	assertNoViolations(t, Options{Seed: *seed, Daemons: 4, FaultDuration: 6 * time.Second})
 }
 
+// Guards against what daemons know of crashes, keys and leaving targets being lost when all of them
+// are killed together, beside other faults.
+func TestSoakKillsAll(t *testing.T) {
+	assertNoViolations(t, Options{Seed: *seed, Daemons: 4, FaultDuration: 9 * time.Second, Kills: 2})
+}
+
 // regressions are seeds whose faults once led to a violation, with its cause.
 var regressions = []struct {
 	seed  uint64
