--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -4,10 +4,13 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/exchange"
 	"rattanline.example/rattanline/placement"
+	"rattanline.example/rattanline/rollout"
 )
 
 const (
@@ -143,3 +146,28 @@
 
 // compressLink reports whether the link to the daemon at the address is compressed.
 func (d *Daemon) compressLink(address string) bool { return d.exchange.Compresses(address) }
+
+// writerRank returns the position of this daemon in the order in which the daemons may write what
+// the name stands for, as the steps of a service's roll-out: the live ones that reach the store, by
+// hash. A daemon with contact to no more than half of the fleet lacks evidence and gets
+// rollout.NoRank.
+func (d *Daemon) writerRank(name string) int {
+	if d.leaving.Load() || !d.mirror.Connected() {
+		return rollout.NoRank
+	}
+	hash := func(daemon string) uint64 { return xxhash.Sum64String(name + "\x00" + daemon) }
+	now, live, higher := clock.Now(), 1, 0
+	for _, p := range d.exchange.Peers() {
+		if !p.Live(now) {
+			continue
+		}
+		live++
+		if p.Status.Connected && !p.Status.Leaving && hash(p.Status.Name) > hash(d.self.Name) {
+			higher++
+		}
+	}
+	if 2*live <= len(d.mirror.View().Members) {
+		return rollout.NoRank
+	}
+	return higher
+}
--- a/edge/rollout.go
+++ b/edge/rollout.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/platform"
 	"rattanline.example/rattanline/rollout"
@@ -58,28 +56,3 @@
 	}
 	return n
 }
-
-// writerRank returns the position of this daemon in the order in which the daemons may write what
-// the name stands for, as the steps of a service's roll-out: the live ones that reach the store, by
-// hash. A daemon with contact to no more than half of the fleet lacks evidence and gets
-// rollout.NoRank.
-func (d *Daemon) writerRank(name string) int {
-	if d.leaving.Load() || !d.mirror.Connected() {
-		return rollout.NoRank
-	}
-	hash := func(daemon string) uint64 { return xxhash.Sum64String(name + "\x00" + daemon) }
-	now, live, higher := clock.Now(), 1, 0
-	for _, p := range d.exchange.Peers() {
-		if !p.Live(now) {
-			continue
-		}
-		live++
-		if p.Status.Connected && !p.Status.Leaving && hash(p.Status.Name) > hash(d.self.Name) {
-			higher++
-		}
-	}
-	if 2*live <= len(d.mirror.View().Members) {
-		return rollout.NoRank
-	}
-	return higher
-}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -107,3 +108,35 @@
 	}
 	return s, nil
 }
+
+// clockDifference is the largest difference of the wall clocks of two daemons.
+const clockDifference = time.Minute
+
+// Restore adds stored marks, and reports whether that changed anything. Marks of crashes in the
+// future are ignored, since they would expire too late.
+func (r *Registry) Restore(now time.Time, marks []Mark) bool {
+	var plausible []Mark
+	for _, m := range marks {
+		if !m.crashTime().After(now.Add(clockDifference)) {
+			plausible = append(plausible, m)
+		}
+	}
+	return len(plausible) > 0 && r.Merge(now, plausible)
+}
+
+// Suspects returns the requests with two or more marks that count, those with the newest marks
+// first if there are more than maxSuspects.
+func (r *Registry) Suspects(now time.Time) []Suspect {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+	var list []Suspect
+	for f := range r.marks {
+		if marks := r.counting(f); len(marks) >= 2 {
+			list = append(list, Suspect{f, marks[max(0, len(marks)-maxStoredMarks):]})
+		}
+	}
+	newest := func(s Suspect) Mark { return s.Marks[len(s.Marks)-1] }
+	sort.Slice(list, func(i, j int) bool { return older(newest(list[j]), newest(list[i])) })
+	return list[:min(len(list), maxSuspects)]
+}
