Record the beginning and the end of a completion for its usage

Now at most 64 KiB of the beginning and 128 KiB of the end are kept. Shorter completions are parsed as before; of longer ones the last usage in the end, or else in the beginning, is read. One in the middle of a completion over 192 KiB isn't.

--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,12 +9,8 @@
 	"github.com/pkg/errors"
 
 	"rattanline.example/rattanline/config"
-	"rattanline.example/rattanline/request"
 )
 
-// maxUsageBodyBytes bounds the JSON response that is recorded to read its usage.
-const maxUsageBodyBytes = 4 << 20
-
 // errUnframed is the error for a response that ends with its connection, so that a
 // truncation could not be detected.
 var errUnframed = errors.New("response without length or chunks")
@@ -26,7 +21,7 @@
 	if e.Length() < 0 && len(e.response.TransferEncoding) == 0 {
 		return e.endResult(errUnframed)
 	}
-	recorded := &recordedBody{}
+	recorded := &usageRecorder{}
 	writer := io.Writer(destinationWriter{destination})
 	if e.attempt.Service.Kind == config.Model {
 		writer = io.MultiWriter(writer, recorded)
@@ -69,30 +64,3 @@
 		}
 	}
 }
-
-// recordedBody records a response of up to maxUsageBodyBytes, and nothing of a longer
-// one.
-type recordedBody struct {
-	data     []byte
-	overflow bool
-}
-
-// Write implements io.Writer.
-func (r *recordedBody) Write(p []byte) (int, error) {
-	if r.overflow || len(r.data)+len(p) > maxUsageBodyBytes {
-		r.overflow, r.data = true, nil
-		return len(p), nil
-	}
-	r.data = append(r.data, p...)
-	return len(p), nil
-}
-
-func (r *recordedBody) tokens() request.Tokens {
-	var body struct {
-		Usage *usage `json:"usage"`
-	}
-	if json.Unmarshal(r.data, &body) != nil || body.Usage == nil {
-		return request.Tokens{}
-	}
-	return body.Usage.tokens()
-}
