--- a/edge/view.go
+++ b/edge/view.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rattanline.example/rattanline/mirror"
-	"rattanline.example/rattanline/quarantine"
 )
 
 // viewChanged applies a new view of the store and logs the changed records.
@@ -31,12 +30,14 @@
 			e.Str("service", r.Service).Str("to", o.To).Dur("duration", o.Duration).Msg("order of a roll-out changed")
 		case mirror.Suspect:
 			_, present := v.Suspects[r.Key]
-			d.quarantine.Restore(time.Now(), r.Marks)
+			if present {
+				d.suspectArchive.Contents.Restore(time.Now(), r.Suspect)
+			}
 			e.Str("key", r.Key).Int("marks", len(r.Marks)).Bool("present", present).Msg("stored crash marks changed")
 		case mirror.PoisonSegment:
 			_, present := v.PoisonSegments[r.Key]
 			if present {
-				quarantine.PoisonSegments{Segments: d.segments}.Restore(time.Now(), r.PoisonSegment)
+				d.segmentArchive.Contents.Restore(time.Now(), r.PoisonSegment)
 			}
 			e.Str("key", r.Key).Str("segment", r.Segment).Bool("present", present).Msg("stored poison segment changed")
 		case mirror.RolloutState:
--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -104,7 +104,7 @@
 		c.Assert(s.values, qt.HasLen, 1) // one mark is not stored
 		b := newArchive(s, archiveWriters)
 		for _, suspect := range s.stored() {
-			b.Registry.Restore(after(time.Minute), suspect.Marks)
+			b.Registry.RestoreMarks(after(time.Minute), suspect.Marks)
 		}
 		assertVerdict(c, b.Registry, after(time.Minute), poison, true, true)
 		c.Assert(b.Registry.Quarantined(after(period+time.Second), poison), qt.IsFalse)
@@ -215,7 +215,7 @@
 		s.values[SuspectPrefix+"odd"] = []byte("[]")
 		c.Assert(s.stored(), qt.HasLen, 0)
 		a := newArchive(s, 0)
-		a.Registry.Restore(begin, []Mark{
+		a.Registry.RestoreMarks(begin, []Mark{
 			{Fingerprint: poison, Crash: "t1", Alone: true, Expires: after(99 * markLifetime)},
 			{Fingerprint: poison, Crash: "t2", Alone: true, Expires: after(99 * markLifetime)},
 		})
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -59,7 +59,7 @@
 }
 
 // Restore implements Contents.
-func (r SuspectRequests) Restore(now time.Time, s Suspect) { r.Registry.Restore(now, s.Marks) }
+func (r SuspectRequests) Restore(now time.Time, s Suspect) { r.RestoreMarks(now, s.Marks) }
 
 // UpToDate implements Contents.
 func (SuspectRequests) UpToDate(stored, known Suspect) bool {
@@ -112,9 +112,9 @@
 // clockDifference is the largest difference of the wall clocks of two daemons.
 const clockDifference = time.Minute
 
-// Restore adds stored marks, and reports whether that changed anything. Marks of crashes in the
+// RestoreMarks adds stored marks, and reports whether that changed anything. Marks of crashes in the
 // future are ignored, since they would expire too late.
-func (r *Registry) Restore(now time.Time, marks []Mark) bool {
+func (r *Registry) RestoreMarks(now time.Time, marks []Mark) bool {
 	var plausible []Mark
 	for _, m := range marks {
 		if !m.crashTime().After(now.Add(clockDifference)) {
