--- a/edge/build.go
+++ b/edge/build.go
@@ -53,7 +53,7 @@
 	return d.links.Register(exchange.Service, d.exchange.Receiver())
 }
 
-// buildArchives creates what keeps in the store which requests and prompt segments crash targets.
+// buildArchives creates the archives of the requests and prompt segments that crash targets.
 func (d *Daemon) buildArchives() {
 	d.suspectArchive = &quarantine.Archive[quarantine.Suspect]{
 		Contents: quarantine.SuspectRequests{Registry: d.quarantine}, KeyValue: d.Store, Logger: d.Logger,
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -69,7 +69,7 @@
 	admission  *admission.Controller
 	quarantine *quarantine.Registry
 	segments   *quarantine.Segments
-	// suspectArchive and segmentArchive keep in the store what quarantine and segments know.
+	// suspectArchive and segmentArchive store the contents of quarantine and segments.
 	suspectArchive *quarantine.Archive[quarantine.Suspect]
 	segmentArchive *quarantine.Archive[quarantine.PoisonSegment]
 	rollouts       *rollout.Controller
--- a/edge/pace_test.go
+++ b/edge/pace_test.go
@@ -80,7 +80,7 @@
 	qt.Assert(t, (&pace{}).take(h.now), qt.IsTrue) // nothing is known yet
 }
 
-// Guards against a daemon that serves next to nothing itself once it passes requests on, because
+// Guards against a daemon that serves hardly any requests itself once it passes requests on, because
 // the processor time of passing on is charged to the few requests that it serves.
 func TestPassingOnLeavesTimeToServe(t *testing.T) {
 	for _, x := range []struct {
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -17,8 +17,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// serveCrashing starts targets i-0, i-1 and so on of the service "desk". Each crashes for good when it
-// receives a body that begins with "poison", and takes a moment for any other. It returns the number of crashes.
+// serveCrashing starts targets i-0, i-1 and so on of the service "desk". A target crashes, and stays down,
+// when it receives a body that begins with "poison". It answers any other body after 20 ms. The returned
+// counter holds the number of crashes.
 func (r *rig) serveCrashing(count int) *atomic.Int32 {
 	r.t.Helper()
 	crashes := &atomic.Int32{}
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -40,7 +40,7 @@
 	Restore(now time.Time, record T)
 	// UpToDate reports whether the stored record needs no change to hold the known one.
 	UpToDate(stored, known T) bool
-	Encode(record T) ([]byte, error)
+	Encode(record T) ([]byte, error) // returns the value of an entry
 	// Decode decodes an entry. Other writers may have written it.
 	Decode(e port.Entry) (T, error)
 }
@@ -85,8 +85,8 @@
 	return nil
 }
 
-// update writes what is due, and checks the entries if it is time to. It costs next to nothing while
-// no crashes are known.
+// update writes what is due, and checks the entries if it is time to. It makes no calls while no
+// crashes are known.
 func (a *Archive[T]) update(ctx context.Context, now time.Time) error {
 	stored, known := a.Stored(), a.Contents.Known(now)
 	if len(stored) == 0 && len(known) == 0 {
--- a/quarantine/mark.go
+++ b/quarantine/mark.go
@@ -30,8 +30,8 @@
 // crashTime returns the time of the crash that the mark records.
 func (m Mark) crashTime() time.Time { return m.Expires.Add(-markLifetime) }
 
-// merge returns the mark that holds what two marks of the same request and crash state. The result
-// does not depend on their order. The request was late only if all daemons that sent it say so.
+// merge combines two marks of the same request and crash. The result does not depend on their
+// order. A mark is late only if it is late at all daemons that sent the request.
 func (m Mark) merge(o Mark) Mark {
 	m.Alone = m.Alone && o.Alone
 	m.Late = m.Late && o.Late
--- a/quarantine/reconciliation.go
+++ b/quarantine/reconciliation.go
@@ -57,7 +57,7 @@
 
 // Missing returns marks in the parts in which another daemon with the digests differs from this
 // one, limit of them if there are more. The parts are in random order, so that one in which daemons
-// can't agree, as with clocks that differ, holds up no other.
+// can't agree, as with clocks that differ, doesn't delay the others.
 func (r *Registry) Missing(now time.Time, other Digests, limit int) []Mark {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -47,8 +47,8 @@
 	r.record(now, crash, fingerprints, false)
 }
 
-// RecordLateCrash does the same for requests whose answers had gone on. Late marks quarantine
-// only as part of three.
+// RecordLateCrash does the same for requests whose answers had gone on. Late marks count only
+// towards a quarantine by three marks.
 func (r *Registry) RecordLateCrash(now time.Time, crash string, fingerprints []uint64) {
 	r.record(now, crash, fingerprints, true)
 }
--- a/rollout/idleness.go
+++ b/rollout/idleness.go
@@ -15,9 +15,9 @@
 	maxIdleGap = 5 * judgeInterval
 )
 
-// idleness tells targets without requests from those whose requests aren't reported for a moment.
-// It answers reports that pass through hubs: if these are lost, the sums lack the requests of
-// other daemons for a while. The zero value is ready to use.
+// idleness distinguishes targets without requests from targets whose requests are temporarily
+// missing in the reports: reports pass through hubs, and if a hub is lost, the sums lack the
+// requests of other daemons for a while. The zero value is ready to use.
 type idleness struct{ since, looked clock.Instant }
 
 // add adds the number of requests that are reported now, and reports whether the targets are idle.
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -13,8 +13,8 @@
 	"rattanline.example/rattanline/port"
 )
 
-// minCanaryTargets is the number of new targets that get requests at least, so that one faulty
-// target is told from a bad version.
+// minCanaryTargets is the minimum number of new targets that get requests, so that one faulty
+// target can be distinguished from a faulty version.
 const minCanaryTargets = 3
 
 // service is the roll-out of one service at one daemon. Its fields above mu are not changed after
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -41,7 +41,7 @@
 }
 
 // expire frees the slots of holders that have been silent for the orphan time.
-// While a target ramps up it can't bear an extra request, so its slots are freed
+// While a target ramps up it can't accept an extra request, so its slots are freed
 // only after the longest request time.
 func (o *Owner) expire(now time.Time) {
 	maxExpiry := max(o.Times.OrphanTime, o.Times.LongestRequest)
