--- a/review/third/case_parts.go
+++ b/review/third/case_parts.go
@@ -107,6 +107,11 @@
 	time.Sleep(calmTime)
 	close(stop)
 	clients.Wait()
+	for _, m := range f.machines {
+		before, at := m.processorTime(), time.Now()
+		time.Sleep(time.Second)
+		f.record.note("%s without requests: ready %t, %.2f cores", m.name, m.ready(), (m.processorTime()-before)/time.Since(at).Seconds())
+	}
 	for _, m := range f.machines {
 		m.signal(syscall.SIGTERM)
 	}
@@ -119,28 +124,29 @@
 			f.record.note("%s still runs 8 s after SIGTERM", m.name)
 		}
 	}
-	result := held
+	unanswered, half := 0, 0 // of all machines
 	for _, m := range f.machines {
-		unanswered, half, answered := 0, 0, 0
+		late, later, unfinished, answered := 0, 0, 0, 0
 		for _, s := range f.record.allRequests() {
-			if s.machine != m.at(frontendPort) {
-				continue
-			}
 			took := s.end.Sub(s.at)
-			if s.status != 0 {
+			switch {
+			case s.machine != m.at(frontendPort):
+			case s.status != 0 && took < timeout:
 				answered++
+			case s.status != 0:
+				unfinished++ // it has an answer, though not its end
+			case took >= timeout+500*time.Millisecond:
+				late, later = late+1, later+1
+			case took >= timeout:
+				late++
 			}
-			if took >= timeout {
-				unanswered++
-				if took >= timeout+500*time.Millisecond {
-					half++
-				}
-			}
-		}
-		f.record.note("%s: %d answered, %d unanswered after %s, of these %d half a second later", m.name, answered, unanswered, timeout, half)
-		if unanswered > 0 && 2*half > unanswered {
-			result = broken
 		}
+		unanswered, half = unanswered+late, half+later
+		f.record.note("%s: %d answered, %d answered without an end, %d unanswered after %s, of these %d half a second later", m.name, answered, unfinished, late, timeout, later)
+	}
+	f.record.note("all: %d unanswered after %s, of these %d half a second later", unanswered, timeout, half)
+	if unanswered > 0 && 2*half > unanswered {
+		return broken, nil
 	}
-	return result, nil
+	return held, nil
 }
--- a/review/third/fleet.go
+++ b/review/third/fleet.go
@@ -7,7 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -21,6 +23,9 @@
 	folder   string // temporary, for settings and logs
 	program  []string
 	octet    int // second one of the daemons' loopback addresses
+
+	mu     sync.Mutex
+	closed bool // no process is started any more
 }
 
 type machine struct {
@@ -75,6 +80,19 @@
 	return true
 }
 
+// processorTime returns the processor time that the daemon has used, in seconds.
+func (m *machine) processorTime() float64 {
+	const ticksPerSecond = 100
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.command.Process.Pid))
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	if err != nil || len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return float64(user+system) / ticksPerSecond
+}
+
 // addServers starts servers of a service, spread over the zones.
 func (f *fleet) addServers(n int, k kind) error {
 	for i := range n {
@@ -203,17 +221,23 @@
 }
 
 func (f *fleet) startMachine(m *machine) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return fmt.Errorf("the case has ended")
+	}
 	var err error
 	if m.log, err = os.OpenFile(filepath.Join(f.folder, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return err
 	}
-	m.command = exec.Command(f.program[0], f.program[1:]...)
-	m.command.Env = append(os.Environ(), "RATTANLINE_CONFIG="+m.settings)
-	m.command.Stdout, m.command.Stderr = m.log, m.log
-	if err := m.command.Start(); err != nil {
+	command := exec.Command(f.program[0], f.program[1:]...)
+	command.Env = append(os.Environ(), "RATTANLINE_CONFIG="+m.settings)
+	command.Stdout, command.Stderr = m.log, m.log
+	if err := command.Start(); err != nil {
 		return err
 	}
-	m.done = make(chan struct{})
+	m.command, m.done = command, make(chan struct{})
+	f.record.note("process %d of %s started", command.Process.Pid, m.name)
 	go func(command *exec.Cmd, done chan struct{}) {
 		err := command.Wait()
 		f.record.note("process of %s ended: %v", m.name, err)
@@ -236,6 +260,9 @@
 
 // close ends all processes and stand-ins.
 func (f *fleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
 	for _, m := range f.machines {
 		if m.command == nil {
 			continue
