Order the store's content by era and revision

A route that was added got 404, and a server that left was still reached.

Cause: the mirror ignored each entry whose revision wasn't above the known one of its key, in changes and in full reads alike, and the read counted as proof that the content was complete. The store gives lost revisions out again for other content, and nothing read the era that it states. A watch from before the return is answered if as many revisions were given out as were lost, and lacks what was written in between.

Change: port.Position orders content by era, then revision, in the mirror, its log, the messages between daemons and the proofs. The era is read from every reply of the store and every message of a peer; content and replies of earlier eras are ignored. A view that enters an era takes each entry that differs, whatever its revision; the configuration stays the highest version. The stand-in of the store can copy itself, come back and answer 410 for revisions that it lacks.

--- /dev/null
+++ b/edge/return_test.go
@@ -0,0 +1,117 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattanline.example/rattanline/standin"
+)
+
+// lostWrites is the number of writes that the store loses in the tests when it comes back from a copy.
+const lostWrites = 12
+
+// returnFrom lets the store be away for a moment and come back from the copy. What rewrite writes is
+// there when the daemons can read the store again.
+func (r *rig) returnFrom(c standin.MetadataCopy, rewrite func()) {
+	r.t.Helper()
+	qt.Assert(r.t, r.store.SetFault(standin.MetadataFault{Fault: standin.Fault{Outage: standin.OutageRefuse}}), qt.IsNil)
+	time.Sleep(300 * time.Millisecond)
+	r.store.Restore(c)
+	rewrite()
+	qt.Assert(r.t, r.store.SetFault(standin.MetadataFault{}), qt.IsNil)
+}
+
+// returningFleet is a fleet of three daemons whose store comes back from a copy that lacks the last
+// lostWrites writes.
+type returningFleet struct {
+	*rig
+	desk, other *targetServer
+	routes      []route
+	copied      standin.MetadataCopy
+}
+
+func newReturningFleet(t *testing.T) *returningFleet {
+	t.Helper()
+	r := &returningFleet{rig: newRig(t), routes: []route{plainRoute("/read/", "idempotent"), plainRoute("/keyed/", "idempotent").with("public", false)}}
+	r.desk, r.other = r.serve("desk", "i-desk", nil), r.serve("desk", "i-other", nil)
+	r.configureKeys([]string{apiKey, "other"}, r.routes...)
+	for range 3 {
+		r.start()
+	}
+	r.awaitReady(r.desk, r.other)
+	r.copied = r.store.Copy()
+	r.writeTargets(lostWrites - 1)
+	r.configureKeys([]string{apiKey, "other"}, r.routes...)
+	r.assertAll("has the lost writes", func(d *process) bool { return d.mirror.View().Index.Version() == uint64(r.version) })
+	return r
+}
+
+func (r *returningFleet) writeTargets(count int) {
+	for i := range count {
+		r.list([]*targetServer{r.desk, r.other}[i%2], "ready")
+	}
+}
+
+// assertAll waits until the condition holds for all daemons.
+func (r *returningFleet) assertAll(what string, condition func(*process) bool) {
+	r.t.Helper()
+	for _, d := range r.daemons {
+		r.await(d.Settings.Name+": "+what, func() bool { return condition(d) })
+	}
+}
+
+// changeAfterReturn lets the store come back and makes the change. Either the daemons read the store
+// before that, and their watch is refused, or the store has given out as many revisions as it lost,
+// so that it answers their watch.
+func (r *returningFleet) changeAfterReturn(watchAnswered bool, change func()) {
+	r.t.Helper()
+	if watchAnswered {
+		r.returnFrom(r.copied, func() {
+			change()
+			for range 2 * lostWrites {
+				r.list(r.other, "ready")
+			}
+		})
+		return
+	}
+	r.returnFrom(r.copied, func() {})
+	r.assertAll("reaches the store", func(d *process) bool { return d.mirror.Connected() && d.mirrorAge() < time.Second })
+	change()
+}
+
+// Guards against daemons that ignore all changes after the store came back from a copy, because its
+// revisions are lower than those of the lost history: a key that was taken away is accepted, a route
+// that was added gets 404, and a target that leaves gets requests.
+func TestChangesAfterStoreReturns(t *testing.T) {
+	for name, watchAnswered := range map[string]bool{"watch refused": false, "watch answered": true} {
+		t.Run("key taken away, "+name, func(t *testing.T) {
+			r := newReturningFleet(t)
+			r.changeAfterReturn(watchAnswered, func() { r.configureKeys([]string{apiKey}, r.routes...) })
+			r.assertAll("refuses the key", func(d *process) bool {
+				return ask(t, d, "GET", "/keyed/", "", "Authorization", "Token other").status == 401
+			})
+			for _, d := range r.daemons {
+				assertStatus(t, ask(t, d, "GET", "/keyed/", "", "Authorization", "Token "+apiKey), 200)
+			}
+		})
+		t.Run("route added, "+name, func(t *testing.T) {
+			r := newReturningFleet(t)
+			r.changeAfterReturn(watchAnswered, func() { r.configure(append(r.routes, plainRoute("/added/", "idempotent"))...) })
+			r.assertAll("serves the route", func(d *process) bool { return ask(t, d, "GET", "/added/", "").status == 200 })
+		})
+		t.Run("target leaves, "+name, func(t *testing.T) {
+			r := newReturningFleet(t)
+			r.changeAfterReturn(watchAnswered, func() { r.list(r.desk, "draining") })
+			r.assertAll("uses only the other target", func(d *process) bool { return d.mirror.View().Targets[r.desk.id].Leaving })
+			before := len(r.desk.requests())
+			for _, d := range r.daemons {
+				for range 10 {
+					assertStatus(t, ask(t, d, "GET", "/read/", ""), 200)
+				}
+			}
+			qt.Assert(t, r.desk.requests(), qt.HasLen, before)
+		})
+	}
+}
--- a/edge/view.go
+++ b/edge/view.go
@@ -11,7 +11,7 @@
 	d.rollouts.Update(v)
 	d.table.Update(v)
 	for _, r := range records {
-		e := d.Logger.Info().Int64("revision", v.Revision)
+		e := d.Logger.Info().Int64("revision", v.Position.Revision)
 		d.announceIfUrgent(r, v)
 		switch r := r.(type) {
 		case mirror.Configuration:
--- a/etcd/client.go
+++ b/etcd/client.go
@@ -1,4 +1,5 @@
-// Package etcd implements port.KeyValue with the HTTP/JSON gateway of etcd v3.
+// Package etcd implements port.KeyValue with the HTTP/JSON gateway of etcd v3. A restore of etcd from a
+// snapshot is not recognised.
 package etcd
 
 import (
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -225,9 +225,9 @@
 // newMessage returns the message of this daemon to a peer.
 func (x *Exchange) newMessage(want bool, to string) Message {
 	now := x.now()
-	revision, age := x.Mirror.Proof(now)
+	at, age := x.Mirror.Proof(now)
 	m := Message{
-		Revision: revision, ProofAge: age, Want: want,
+		Era: at.Era, Revision: at.Revision, ProofAge: age, Want: want,
 		Report: x.Report(),
 	}
 	if x.Segments != nil {
@@ -266,11 +266,12 @@
 	if m.From.Name == "" || m.From.Name == x.Self.Name {
 		return
 	}
+	x.Mirror.LearnEra(m.Era)
 	learned := x.Marks.Merge(time.Now(), m.Marks)
 	learned = x.Segments != nil && x.Segments.Merge(now, m.Segments) || learned
 	if isReply {
 		proof := min(sentAt.Add(-m.ProofAge), now) // no mirror is known to be complete in the future
-		x.Mirror.Adopt(m.Revision, m.Entries, m.Changes, m.Complete, proof)
+		x.Mirror.Adopt(mirror.Content{Position: m.position(), Entries: m.Entries, Changes: m.Changes, Complete: m.Complete}, proof)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -348,11 +349,11 @@
 	x := r.exchange
 	x.receive(m, 0, false)
 	*reply = x.newMessage(false, m.From.Name)
-	if v := x.Mirror.View(); m.Want && v.Revision > m.Revision {
-		if reply.Changes, reply.Complete = v.Since(m.Revision, x.now()); !reply.Complete {
+	if v := x.Mirror.View(); m.Want && v.Position.After(m.position()) {
+		if reply.Changes, reply.Complete = v.Since(m.position(), x.now()); !reply.Complete {
 			reply.Entries = v.Entries()
 		}
-		reply.Revision = v.Revision
+		reply.Era, reply.Revision = v.Position.Era, v.Position.Revision
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -138,7 +138,7 @@
 		entries = append(entries, port.Entry{Key: w.Key, Value: w.Value, Revision: int64(i + 1)})
 	}
 	for _, x := range all {
-		x.Mirror.Adopt(int64(len(all)), entries, nil, false, x.now())
+		x.Mirror.Adopt(mirror.Content{Position: port.Position{Revision: int64(len(all))}, Entries: entries}, x.now())
 	}
 }
 
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -37,7 +37,8 @@
 // Message is the argument and the reply of a call between two daemons.
 type Message struct {
 	From Status
-	// Revision is the revision of the sender's mirror of the key-value service.
+	// Era and Revision are the position of the sender's mirror of the key-value service.
+	Era      port.Era
 	Revision int64
 	// ProofAge is the time since the mirror was last known to be complete.
 	ProofAge time.Duration
@@ -73,6 +74,8 @@
 	Held uint64
 }
 
+func (m Message) position() port.Position { return port.Position{Era: m.Era, Revision: m.Revision} }
+
 // Group aggregates the state of several daemons.
 type Group struct {
 	// Domain is the failure domain of the daemons, empty for all failure domains.
--- a/mirror/log_test.go
+++ b/mirror/log_test.go
@@ -22,7 +22,7 @@
 func (m *Mirror) adoptFrom(o *Mirror) (bytes int, complete bool) {
 	now := clock.Now()
 	v := o.View()
-	changes, complete := v.Since(m.View().Revision, now)
+	changes, complete := v.Since(m.View().Position, now)
 	var entries []port.Entry
 	if !complete {
 		entries = v.Entries()
@@ -30,7 +30,7 @@
 	for _, c := range changes {
 		bytes += len(c.Entry.Value)
 	}
-	m.Adopt(v.Revision, entries, changes, complete, now)
+	m.Adopt(Content{Position: v.Position, Entries: entries, Changes: changes, Complete: complete}, now)
 	return bytes, complete
 }
 
@@ -55,7 +55,7 @@
 		}
 		qt.Assert(t, sum <= 2*logBytes, qt.IsTrue, qt.Commentf("%d bytes of %d versions", sum, i))
 	}
-	_, complete := m.View().Since(2, 0)
+	_, complete := m.View().Since(at(2), 0)
 	qt.Assert(t, complete, qt.IsFalse) // it takes a copy of all entries
 	for _, o := range []*Mirror{behind, far} {
 		o.adoptFrom(m)
@@ -88,8 +88,8 @@
 		_, all := follower.adoptFrom(m)
 		complete = complete && all
 		want, got := m.View(), follower.View()
-		if len(want.entries) != len(got.entries) || want.Revision != got.Revision {
-			t.Fatalf("%d entries at %d, %d at %d", len(want.entries), want.Revision, len(got.entries), got.Revision)
+		if len(want.entries) != len(got.entries) || want.Position != got.Position {
+			t.Fatalf("%d entries at %v, %d at %v", len(want.entries), want.Position, len(got.entries), got.Position)
 		}
 		for key, e := range want.entries {
 			if string(got.entries[key].Value) != string(e.Value) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -47,6 +47,9 @@
 	// proofTime is when the mirror was last known to be complete.
 	proofTime atomic.Int64
 	connected atomic.Bool
+	// peerEra is the highest era that a peer has stated.
+	peerEra        atomic.Int64
+	unstatedLogged atomic.Bool
 }
 
 // View returns the current state, never nil.
@@ -63,12 +66,12 @@
 	return now.Sub(clock.Instant(m.proofTime.Load()))
 }
 
-// Proof returns a revision of the view and the time since the mirror was last known to be
+// Proof returns a position of the view and the time since the mirror was last known to be
 // complete at it. The time of the proof is read first: a proof that arrives between the two
-// readings holds for a revision that may be newer.
-func (m *Mirror) Proof(now clock.Instant) (revision int64, age time.Duration) {
+// readings holds for a position that may be newer.
+func (m *Mirror) Proof(now clock.Instant) (at port.Position, age time.Duration) {
 	age = m.Age(now)
-	return m.View().Revision, age
+	return m.View().Position, age
 }
 
 // Connected reports whether the last call to the service succeeded.
@@ -77,46 +80,51 @@
 // Run mirrors the service until the context ends. A daemon that does not poll also
 // reads the first snapshot from the service.
 func (m *Mirror) Run(ctx context.Context) error {
-	after := int64(-1)
+	var after *port.Position // nil: all entries have to be read
 	for ctx.Err() == nil {
-		if after >= 0 && m.Polling != nil && !m.Polling() {
-			select {
-			case <-ctx.Done():
-			case <-time.After(standbyInterval):
-			}
-			after = m.View().Revision // skips the changes received from peers
-			continue
-		}
-		sentAt := clock.Now()
-		next, err := m.poll(ctx, after)
-		if err == nil {
-			m.advanceProofTime(sentAt)
-			if !m.connected.Swap(true) {
-				m.Logger.Info().Str("dependency", "key-value").Int64("revision", next).Msg("dependency regained")
-			}
-			if after >= 0 && next > after {
-				select {
-				case <-ctx.Done():
-				case <-time.After(batchDelay):
-				}
-			}
-			after = next
-			continue
-		}
-		if errors.Is(err, port.ErrCompacted) {
-			m.Logger.Warn().Int64("revision", after).Msg("history compacted, reading all again")
-			after = -1
+		if after != nil && m.Polling != nil && !m.Polling() {
+			pause(ctx, standbyInterval)
+			after = &port.Position{}
+			*after = m.View().Position // skips the changes received from peers
 			continue
 		}
-		if ctx.Err() == nil && m.connected.Swap(false) {
-			m.Logger.Warn().Err(err).Str("dependency", "key-value").Int64("revision", after).Msg("dependency lost")
+		after = m.pollOnce(ctx, after)
+	}
+	return nil
+}
+
+// pollOnce polls the service, records whether it can be reached, and pauses before the next poll.
+// It returns the position from which that continues, nil if all entries have to be read.
+func (m *Mirror) pollOnce(ctx context.Context, after *port.Position) *port.Position {
+	sentAt := clock.Now()
+	next, err := m.poll(ctx, after)
+	switch {
+	case err == nil:
+		m.advanceProofTime(sentAt)
+		if !m.connected.Swap(true) {
+			m.Logger.Info().Str("dependency", "key-value").Int64("era", int64(next.Era)).Int64("revision", next.Revision).Msg("dependency regained")
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryDelay):
+		if after != nil && next.After(*after) {
+			pause(ctx, batchDelay)
 		}
+		return &next
+	case errors.Is(err, port.ErrCompacted):
+		m.Logger.Warn().Int64("era", int64(m.KnownEra())).Int64("revision", m.View().Position.Revision).Msg("changes not available, reading all entries again")
+		return nil
+	}
+	if ctx.Err() == nil && m.connected.Swap(false) {
+		m.Logger.Warn().Err(err).Str("dependency", "key-value").Int64("revision", m.View().Position.Revision).Msg("dependency lost")
+	}
+	pause(ctx, retryDelay)
+	return after
+}
+
+// pause waits for the duration, or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	return nil
 }
 
 func (m *Mirror) advanceProofTime(sentAt clock.Instant) {
@@ -159,44 +167,58 @@
 	}
 }
 
-// Adopt applies the content of another daemon's mirror at the revision: all
-// entries, or if complete is true the changes after this mirror's revision, which
-// may be none. The other mirror was known to be complete at proofTime, which counts
-// for this mirror if both are then at the same revision.
-func (m *Mirror) Adopt(revision int64, entries []port.Entry, changes []Change, complete bool, proofTime clock.Instant) {
-	m.adopt(revision, entries, changes, complete)
-	if m.View().Revision == revision {
+// Content is what a daemon sends of its mirror to another one.
+type Content struct {
+	Position port.Position
+	// Entries holds all entries, or is nil if Changes holds those after the receiver's position,
+	// which may be none. Complete reports whether it does.
+	Entries  []port.Entry
+	Changes  []Change
+	Complete bool
+}
+
+// Adopt applies the content of another daemon's mirror. The other mirror was known to be complete
+// at proofTime, which counts for this mirror if both are then at the same position. Content of an
+// earlier era than the known one is ignored.
+func (m *Mirror) Adopt(c Content, proofTime clock.Instant) {
+	m.LearnEra(c.Position.Era)
+	if c.Position.Era < m.KnownEra() {
+		return
+	}
+	m.adopt(c)
+	if m.View().Position == c.Position {
 		m.advanceProofTime(proofTime)
 	}
 }
 
-// adopt compares the revisions under the lock: a poll that ends in between may have removed an
+// adopt compares the positions under the lock: a poll that ends in between may have removed an
 // entry, which an older content would bring back.
-func (m *Mirror) adopt(revision int64, entries []port.Entry, changes []Change, complete bool) {
+func (m *Mirror) adopt(c Content) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	switch newer := revision > m.View().Revision; {
-	case newer && entries != nil:
-		m.applyLocked(m.replacement(entries, revision), false)
-	case newer && complete:
+	known := m.View().Position
+	switch newer := c.Position.After(known); {
+	case newer && c.Entries != nil:
+		m.applyLocked(m.replacement(c.Entries, c.Position), false)
+	case newer && c.Complete && c.Position.Era == known.Era:
 		m.applyLocked(func(v *View, now clock.Instant) []Record {
 			var records []Record
-			for _, c := range changes {
+			for _, c := range c.Changes {
 				if r := m.apply(v, c.Event, now.Add(-c.Age)); r != nil {
 					records = append(records, r)
 				}
 			}
-			v.Revision = max(v.Revision, revision)
+			v.Position = c.Position
 			return records
 		}, false)
 	}
 }
 
-// applyAll applies all changes after the revision of the view up to that of the last event.
+// applyAll applies all changes after the revision of the view up to that of the last event. All are of its era.
 func (m *Mirror) applyAll(v *View, events []port.Event, now clock.Instant) []Record {
 	var records []Record
 	for _, e := range events {
-		v.Revision = max(v.Revision, e.Entry.Revision)
+		v.Position.Revision = max(v.Position.Revision, e.Entry.Revision)
 		if r := m.apply(v, e, now); r != nil {
 			records = append(records, r)
 		}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -22,15 +22,19 @@
 	entries []port.Entry
 	events  []port.Event
 	at      int64
+	era     port.Era
 	err     error
 }
 
+func (r reply) position() port.Position { return port.Position{Era: r.era, Revision: r.at} }
+
 // store is a port.Poller that returns its replies in order and blocks the calls
 // after that.
 type store struct {
 	mu      sync.Mutex
 	replies []reply
 	calls   []string
+	era     port.Era
 	idle    chan struct{} // closed when the replies are used up
 }
 
@@ -46,19 +50,36 @@
 		return reply{}, ctx.Err()
 	}
 	r := s.replies[0]
-	s.replies = s.replies[1:]
+	s.replies, s.era = s.replies[1:], max(s.era, r.era)
 	s.mu.Unlock()
 	return r, r.err
 }
 
-func (s *store) Snapshot(ctx context.Context) ([]port.Entry, int64, error) {
+func (s *store) Snapshot(ctx context.Context) ([]port.Entry, port.Position, error) {
 	r, err := s.next(ctx, "snapshot")
-	return r.entries, r.at, err
+	return r.entries, r.position(), err
+}
+
+func (s *store) Poll(ctx context.Context, after port.Position, _ time.Duration) ([]port.Event, port.Position, error) {
+	r, err := s.next(ctx, fmt.Sprint("poll ", after.Revision))
+	return r.events, r.position(), err
 }
 
-func (s *store) Poll(ctx context.Context, after int64, _ time.Duration) ([]port.Event, int64, error) {
-	r, err := s.next(ctx, fmt.Sprint("poll ", after))
-	return r.events, r.at, err
+func (s *store) Era() port.Era {
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// at returns the position of a service that states no era.
+func at(revision int64) port.Position { return port.Position{Revision: revision} }
+
+// entriesAt returns the content of a mirror that holds the entries at the revision.
+func entriesAt(revision int64, entries ...port.Entry) Content {
+	return Content{Position: at(revision), Entries: append([]port.Entry{}, entries...)}
 }
 
 func entry(key, value string, revision int64) port.Entry {
@@ -182,24 +203,24 @@
 // and after a message of a daemon with an older proof or at another revision.
 func TestFreshnessProof(t *testing.T) {
 	m, _ := runMirror(t, reply{entries: []port.Entry{entry("target/a", "x", 5)}, at: 5})
-	at := clock.Now()
-	age := m.Age(at)
+	now := clock.Now()
+	age := m.Age(now)
 	qt.Assert(t, age < time.Second, qt.IsTrue)
-	later := at.Add(10 * time.Second)
+	later := now.Add(10 * time.Second)
 
-	m.Adopt(4, nil, nil, false, later)
+	m.Adopt(Content{Position: at(4)}, later)
 	qt.Assert(t, m.Age(later) >= 10*time.Second, qt.IsTrue) // another revision is no proof
-	m.Adopt(5, nil, nil, false, at.Add(time.Second))
+	m.Adopt(Content{Position: at(5)}, now.Add(time.Second))
 	qt.Assert(t, m.Age(later), qt.Equals, 9*time.Second)
-	m.Adopt(5, nil, nil, false, at) // an older proof does not raise the age
+	m.Adopt(Content{Position: at(5)}, now) // an older proof does not raise the age
 	qt.Assert(t, m.Age(later), qt.Equals, 9*time.Second)
 
-	m.Adopt(8, []port.Entry{entry("target/b", "x", 8)}, nil, false, at.Add(2*time.Second))
+	m.Adopt(entriesAt(8, entry("target/b", "x", 8)), now.Add(2*time.Second))
 	listed, gone := targetNames(m.View())
 	qt.Assert(t, listed, qt.DeepEquals, []string{"b"})
 	qt.Assert(t, gone, qt.DeepEquals, []string{"a"})
 	qt.Assert(t, m.Age(later), qt.Equals, 8*time.Second)
-	m.Adopt(7, []port.Entry{entry("target/a", "x", 5)}, nil, false, at.Add(3*time.Second))
+	m.Adopt(entriesAt(7, entry("target/a", "x", 5)), now.Add(3*time.Second))
 	listed, _ = targetNames(m.View())
 	qt.Assert(t, listed, qt.DeepEquals, []string{"b"})
 
@@ -216,12 +237,12 @@
 	now := clock.Now()
 	pull := func() {
 		v := poller.View()
-		changes, complete := v.Since(other.View().Revision, now)
+		changes, complete := v.Since(other.View().Position, now)
 		var entries []port.Entry
 		if !complete {
 			entries = v.Entries()
 		}
-		other.Adopt(v.Revision, entries, changes, complete, now)
+		other.Adopt(Content{Position: v.Position, Entries: entries, Changes: changes, Complete: complete}, now)
 	}
 	pull()
 	listed, _ := targetNames(other.View())
@@ -244,8 +265,8 @@
 	slices.Sort(want)
 	slices.Sort(got)
 	qt.Assert(t, got, qt.DeepEquals, want)
-	qt.Assert(t, other.View().Revision, qt.Equals, poller.View().Revision)
-	_, complete := poller.View().Since(6, clock.Now())
+	qt.Assert(t, other.View().Position, qt.Equals, poller.View().Position)
+	_, complete := poller.View().Since(at(6), clock.Now())
 	qt.Assert(t, complete, qt.IsFalse)
 }
 
@@ -259,10 +280,10 @@
 	poller.applyUpdate(func(v *View, _ clock.Instant) []Record {
 		return []Record{poller.apply(v, removed("target/a", 6), now.Add(-2*time.Second))}
 	}, false)
-	changes, complete := poller.View().Since(5, now)
+	changes, complete := poller.View().Since(at(5), now)
 	qt.Assert(t, complete, qt.IsTrue)
 	qt.Assert(t, changes, qt.HasLen, 1)
-	late.Adopt(6, nil, changes, complete, now)
+	late.Adopt(Content{Position: at(6), Changes: changes, Complete: complete}, now)
 	since := clock.Now().Sub(late.View().Targets["a"].Removed)
 	qt.Assert(t, since >= 2*time.Second && since < 3*time.Second, qt.IsTrue, qt.Commentf("%s", since))
 }
@@ -282,13 +303,13 @@
 			behind, _ := runMirror(t, reply{entries: []port.Entry{entry("target/a", "engine", 3), entry("target/b", "engine", 4)}, at: 5})
 			ahead, _ := runMirror(t, replies...)
 			v := ahead.View()
-			changes, complete := v.Since(behind.View().Revision, clock.Now())
+			changes, complete := v.Since(behind.View().Position, clock.Now())
 			var entries []port.Entry
 			if !complete {
 				entries = v.Entries()
 			}
-			behind.Adopt(v.Revision, entries, changes, complete, clock.Now())
-			qt.Assert(t, behind.View().Revision, qt.Equals, int64(9))
+			behind.Adopt(Content{Position: v.Position, Entries: entries, Changes: changes, Complete: complete}, clock.Now())
+			qt.Assert(t, behind.View().Position, qt.Equals, at(9))
 			qt.Assert(t, behind.View().Targets["a"].Removed != 0, qt.IsTrue)
 			qt.Assert(t, behind.View().Targets["b"].Removed == 0, qt.IsTrue)
 		})
@@ -316,12 +337,13 @@
 	var writer sync.WaitGroup
 	writer.Go(func() {
 		for i := range int64(revisions) {
-			m.Adopt(i+1, []port.Entry{}, nil, false, clock.Instant(i+1))
+			m.Adopt(entriesAt(i+1), clock.Instant(i+1))
 		}
 	})
 	defer writer.Wait()
 	for {
-		revision, age := m.Proof(0)
+		position, age := m.Proof(0)
+		revision := position.Revision
 		if proven := int64(-age); proven > revision { // the proof of each revision is its number
 			t.Fatalf("the proof of revision %d is stated with revision %d", proven, revision)
 		}
@@ -342,10 +364,10 @@
 		}
 		return decode(e)
 	}
-	m.Adopt(3, []port.Entry{entry("target/a", "x", 1), entry("target/b", "odd", 2), entry("target/c", "x", 3)}, nil, false, 0)
+	m.Adopt(entriesAt(3, entry("target/a", "x", 1), entry("target/b", "odd", 2), entry("target/c", "x", 3)), 0)
 	v := m.View()
 	qt.Assert(t, v.Targets, qt.HasLen, 2)
-	qt.Assert(t, v.Revision, qt.Equals, int64(3))
+	qt.Assert(t, v.Position, qt.Equals, at(3))
 }
 
 // Guards against an entry that is never removed from the mirror, because the older content of a peer was
@@ -357,7 +379,7 @@
 	m.applyUpdate(func(v *View, now clock.Instant) []Record { // a poll that ends while a reply arrives
 		go func() {
 			defer close(adopted)
-			m.Adopt(10, []port.Entry{entry("target/a", "x", 5)}, nil, false, now)
+			m.Adopt(entriesAt(10, entry("target/a", "x", 5)), now)
 		}()
 		time.Sleep(50 * time.Millisecond) // for the other goroutine to wait for the lock
 		return m.applyAll(v, []port.Event{removed("target/a", 11)}, now)
--- a/mirror/snapshot_test.go
+++ b/mirror/snapshot_test.go
@@ -16,7 +16,7 @@
 
 // replace applies a complete set of entries, read at the revision or later.
 func (m *Mirror) replace(entries []port.Entry, revision int64) {
-	m.applyUpdate(m.replacement(entries, revision), false)
+	m.applyUpdate(m.replacement(entries, at(revision)), false)
 }
 
 // Guards against a change that daemons never receive, because the daemon that they adopt the content
@@ -35,7 +35,7 @@
 	}
 	other.adoptFrom(hub)
 	qt.Assert(t, other.View().Index.Version(), qt.Equals, uint64(2))
-	qt.Assert(t, other.View().Revision, qt.Equals, int64(9))
+	qt.Assert(t, other.View().Position, qt.Equals, at(9))
 }
 
 // overtaken is a port.Poller whose calls end after the mirror has adopted the content of a peer.
@@ -44,12 +44,12 @@
 	adopt func()
 }
 
-func (o overtaken) Snapshot(ctx context.Context) ([]port.Entry, int64, error) {
+func (o overtaken) Snapshot(ctx context.Context) ([]port.Entry, port.Position, error) {
 	defer o.adopt()
 	return o.store.Snapshot(ctx)
 }
 
-func (o overtaken) Poll(ctx context.Context, after int64, wait time.Duration) ([]port.Event, int64, error) {
+func (o overtaken) Poll(ctx context.Context, after port.Position, wait time.Duration) ([]port.Event, port.Position, error) {
 	defer o.adopt()
 	return o.store.Poll(ctx, after, wait)
 }
@@ -58,30 +58,30 @@
 // of the service ended after the content of a peer was adopted.
 func TestReadOvertakenByAdoption(t *testing.T) {
 	for name, test := range map[string]struct {
-		after int64
+		after *port.Position
 		reply reply
 	}{
-		"snapshot": {after: -1, reply: reply{entries: []port.Entry{entry("target/b", "x", 5)}, at: 6}},
-		"poll":     {after: 4, reply: reply{events: []port.Event{put("target/b", "x", 5)}, at: 5}},
+		"snapshot": {reply: reply{entries: []port.Entry{entry("target/b", "x", 5)}, at: 6}},
+		"poll":     {after: &port.Position{Revision: 4}, reply: reply{events: []port.Event{put("target/b", "x", 5)}, at: 5}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newMirror(nil)
 			m.replace([]port.Entry{entry("target/a", "x", 4)}, 4)
 			m.Poller = overtaken{newStore(test.reply), func() {
-				m.Adopt(8, []port.Entry{entry("target/a", "x", 4)}, nil, false, clock.Now()) // "target/b" was removed at 7
+				m.Adopt(entriesAt(8, entry("target/a", "x", 4)), clock.Now()) // "target/b" was removed at 7
 			}}
 			next, err := m.poll(t.Context(), test.after)
 			qt.Assert(t, err, qt.IsNil)
-			qt.Assert(t, next, qt.Equals, int64(8))
+			qt.Assert(t, next, qt.Equals, at(8))
 			qt.Assert(t, m.View().Targets, qt.HasLen, 1)
 		})
 	}
 	t.Run("service that went back", func(t *testing.T) {
 		m := newMirror(newStore(reply{entries: []port.Entry{entry("target/b", "x", 6)}, at: 6}))
 		m.replace([]port.Entry{entry("target/a", "x", 8)}, 8)
-		next, err := m.poll(t.Context(), -1)
+		next, err := m.poll(t.Context(), nil)
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, next, qt.Equals, int64(6))
+		qt.Assert(t, next, qt.Equals, at(6))
 		qt.Assert(t, m.View().Targets["b"].Service, qt.Equals, "x")
 	})
 }
@@ -102,14 +102,14 @@
 // checkComplete fails if the view lacks a change up to its revision.
 func (h history) checkComplete(t *rapid.T, v *View, keys []string) {
 	for _, key := range keys {
-		last := h.last(key, v.Revision)
+		last := h.last(key, v.Position.Revision)
 		got, held := v.entries[key]
 		switch {
 		case last == nil:
 		case held && got.Revision < last.Entry.Revision:
-			t.Fatalf("revision %d holds %q of revision %d, changed at %d", v.Revision, key, got.Revision, last.Entry.Revision)
+			t.Fatalf("revision %d holds %q of revision %d, changed at %d", v.Position.Revision, key, got.Revision, last.Entry.Revision)
 		case !held && !last.Deleted && h.last(key, int64(len(h))) == last:
-			t.Fatalf("revision %d lacks %q of revision %d", v.Revision, key, last.Entry.Revision)
+			t.Fatalf("revision %d lacks %q of revision %d", v.Position.Revision, key, last.Entry.Revision)
 		}
 	}
 }
@@ -128,22 +128,22 @@
 func (r *reader) readPage(h history, keys []string) {
 	now := int64(len(h))
 	if r.page == 0 {
-		r.at, r.known, r.entries = now, r.View().Revision, nil
+		r.at, r.known, r.entries = now, r.View().Position.Revision, nil
 	}
 	if e := h.last(keys[r.page], now); e != nil && !e.Deleted {
 		r.entries = append(r.entries, e.Entry)
 	}
 	r.page = (r.page + 1) % len(keys)
 	if r.page == 0 {
-		r.applyUpdate(r.snapshotUpdate(r.entries, r.at, r.known), false)
-		r.after = max(r.at, r.View().Revision)
+		r.applyUpdate(r.snapshotUpdate(r.entries, at(r.at), at(r.known)), false)
+		r.after = max(r.at, r.View().Position.Revision)
 	}
 }
 
 // readChanges applies the changes after the last read.
 func (r *reader) readChanges(h history) {
 	if r.after > 0 && r.after < int64(len(h)) {
-		r.applyUpdate(r.pollUpdate(slices.Clone(h[r.after:]), r.View().Revision), false)
+		r.applyUpdate(r.pollUpdate(slices.Clone(h[r.after:]), r.View().Position), false)
 		r.after = int64(len(h))
 	}
 }
@@ -166,7 +166,7 @@
 			"changes": func(*rapid.T) { pick().readChanges(h) },
 			"exchange": func(*rapid.T) {
 				to, from := pick(), pick()
-				if from.View().Revision > to.View().Revision {
+				if from.View().Position.After(to.View().Position) {
 					to.adoptFrom(from.Mirror)
 				}
 			},
--- a/mirror/view.go
+++ b/mirror/view.go
@@ -16,9 +16,9 @@
 
 // View is an immutable state of the mirror.
 type View struct {
-	// Revision is the revision up to which the view contains all changes. Single entries may be
+	// Position is the position up to which the view contains all changes. Single entries may be
 	// newer, since a read of all entries takes time.
-	Revision int64
+	Position port.Position
 	// Index holds the configuration, nil while none is known.
 	Index *config.Index
 	// Evacuated holds the names of the evacuated failure domains.
@@ -35,17 +35,21 @@
 	Suspects       map[string]quarantine.Suspect
 	PoisonSegments map[string]quarantine.PoisonSegment
 
+	// entries holds the entries as the service shows them, all of the era of Position.
 	entries map[string]port.Entry
-	log     changeLog
+	// configuration is the entry of Index. The service may show a lower version after it came
+	// back from a copy.
+	configuration port.Entry
+	log           changeLog
 }
 
-// Since returns the changes after the revision, without values that later ones replace. It returns
+// Since returns the changes after the position, without values that later ones replace. It returns
 // false if the log does not hold all of them, or the view is still empty.
-func (v *View) Since(revision int64, now clock.Instant) ([]Change, bool) {
-	if v.Revision == 0 {
+func (v *View) Since(after port.Position, now clock.Instant) ([]Change, bool) {
+	if v.Position.Revision == 0 || after.Era != v.Position.Era {
 		return nil, false
 	}
-	return v.log.since(revision, now)
+	return v.log.since(after.Revision, now)
 }
 
 // restartLog empties the log of a view that was read as a whole, up to the revision of its newest
@@ -101,25 +105,34 @@
 		v.remove(r, received)
 		return r
 	}
-	r, err := m.decode(e.Entry)
-	if err == nil && r != nil {
-		v.entries[e.Entry.Key] = e.Entry
-		change.effective = v.add(r, received)
-		v.log.add(change)
-		return r
-	}
+	r, effective := m.take(v, e.Entry, received)
+	change.effective = effective
 	v.log.add(change)
+	return r
+}
+
+// take decodes an entry into the view. It returns the record that changed, nil if there is none,
+// and whether the view took over its value.
+func (m *Mirror) take(v *View, e port.Entry, received clock.Instant) (Record, bool) {
+	r, err := m.decode(e)
+	if err == nil && r == nil {
+		return nil, false
+	}
+	v.entries[e.Key] = e
 	if err == nil {
-		return nil
+		effective := v.add(r, received)
+		if _, ok := r.(Configuration); ok && effective {
+			v.configuration = e
+		}
+		return r, effective
 	}
-	m.Logger.Warn().Err(err).Str("key", e.Entry.Key).Int64("revision", e.Entry.Revision).Msg("entry unreadable")
-	v.entries[e.Entry.Key] = e.Entry
-	t, isTarget := m.DecodeRemoval(e.Entry.Key).(Target)
+	m.Logger.Warn().Err(err).Str("key", e.Key).Int64("revision", e.Revision).Msg("entry unreadable")
+	t, isTarget := m.DecodeRemoval(e.Key).(Target)
 	if !isTarget {
-		return nil
+		return nil, false
 	}
 	delete(v.Targets, t.Name)
-	return t
+	return t, false
 }
 
 // add adds a record, and reports whether it replaces what was known.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -87,7 +87,7 @@
 		appeared = appeared.with(v, c.clock(), c.settled)
 		c.appeared.Store(&appeared)
 	}
-	c.settled = c.settled || v.Revision > 0
+	c.settled = c.settled || v.Position.Revision > 0
 	c.services.Store(&services)
 }
 
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -181,7 +181,7 @@
 // received.
 func (n *node) decode(entries []port.Entry) *mirror.View {
 	before := n.view.Load()
-	v := &mirror.View{Revision: 1, Targets: map[string]mirror.Target{}, Rollouts: map[string]mirror.Rollout{}, RolloutStates: map[string]mirror.RolloutState{}}
+	v := &mirror.View{Position: port.Position{Revision: 1}, Targets: map[string]mirror.Target{}, Rollouts: map[string]mirror.Rollout{}, RolloutStates: map[string]mirror.RolloutState{}}
 	for _, e := range entries {
 		if service, ok := strings.CutPrefix(e.Key, mirror.RolloutPrefix); ok {
 			s := mirror.RolloutState{}
--- a/standin/metadata.go
+++ b/standin/metadata.go
@@ -44,6 +44,7 @@
 
 	mu        sync.Mutex // callers of write, remove and notify hold it
 	revision  int64
+	era       int64
 	compacted int64
 	items     map[string]metadataItem
 	history   []metadataItem
@@ -55,7 +56,7 @@
 // NewMetadata returns an empty metadata store.
 func NewMetadata() *Metadata {
 	m := &Metadata{
-		injector: newInjector(), revision: 1, items: map[string]metadataItem{},
+		injector: newInjector(), revision: 1, era: 1, items: map[string]metadataItem{},
 		leases: map[int64]*metadataLease{}, changed: make(chan struct{}), calls: map[string]int{},
 	}
 	mux := http.NewServeMux()
@@ -68,6 +69,7 @@
 			m.mu.Lock()
 			m.calls[pattern]++
 			m.mu.Unlock()
+			m.stateEra(w)
 			if m.injector.before(w, r) {
 				serve(w, r)
 			}
@@ -184,8 +186,13 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
+	era := m.Era()
 	for {
 		m.mu.Lock()
+		if m.era != era {
+			m.mu.Unlock()
+			panic(http.ErrAbortHandler) // the store went away while the watch waited
+		}
 		compacted, at, changed := m.compacted, m.revision, m.changed
 		events := []metadataItem{}
 		for _, i := range m.history {
@@ -194,7 +201,7 @@
 			}
 		}
 		m.mu.Unlock()
-		if after < compacted {
+		if after < compacted || after > at {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
