End the eviction of prompt segments whatever the clock says

Cause: segmentCache.expire halved an age until at most 256 segments were younger. A segment newer than the current time is never that old. Table.Started reads the clock before it takes the lock, so of two requests the one that read it first may get the lock last, and the cache is then full of segments that are newer by microseconds. The loop held the lock of the table.

Change: segments are evicted by number, least recently used first. At most 512 segments of a prompt are tracked, and those of the newest prompt are kept, where a prompt with more than 256 parts used to evict itself.

Related paths: all other loops of the product that aren't over a collection were read. None depends on the order of two readings of the clock.

--- a/placement/segment.go
+++ b/placement/segment.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,8 +16,8 @@
 	// segmentLifetime is how long a target is assumed to cache a segment after its
 	// last use.
 	segmentLifetime = 8 * time.Second
-	// maxSegments is the number of tracked segments per target beyond which old ones
-	// are evicted.
+	// maxSegments is the maximum number of tracked segments per target. Beyond it, half of
+	// them are evicted.
 	maxSegments = 512
 )
 
@@ -31,27 +34,29 @@
 	return keys
 }
 
+// add records that a prompt was sent. Of a prompt with more than maxSegments segments only the
+// first ones are tracked.
 func (s *segmentCache) add(now clock.Instant, keys []uint64) {
 	if s.lastSent == nil {
 		s.lastSent = map[uint64]clock.Instant{}
 	}
+	keys = keys[:min(len(keys), maxSegments)]
 	for _, key := range keys {
 		s.lastSent[key] = now
 	}
 	if len(s.lastSent) > maxSegments {
-		s.expire(now)
+		s.evict(max(maxSegments/2, len(keys)))
 	}
 }
 
-// expire evicts segments that are no longer assumed to be cached, then
-// progressively younger ones until at most half of maxSegments are left.
-func (s *segmentCache) expire(now clock.Instant) {
-	for age := segmentLifetime; len(s.lastSent) > maxSegments/2; age /= 2 {
-		for key, at := range s.lastSent {
-			if now.Sub(at) >= age {
-				delete(s.lastSent, key)
-			}
-		}
+// evict leaves only the most recently used segments. They are counted, not compared with the
+// current time, which may have been read before that of other segments.
+func (s *segmentCache) evict(left int) {
+	oldestFirst := slices.SortedFunc(maps.Keys(s.lastSent), func(a, b uint64) int {
+		return cmp.Compare(s.lastSent[a], s.lastSent[b])
+	})
+	for _, key := range oldestFirst[:max(len(oldestFirst)-left, 0)] {
+		delete(s.lastSent, key)
 	}
 }
 
