Never count rates of the future as higher

No caller was seen to suffer.

Cause: rates that decay (work of accounts, faults, pace and skew of targets) were multiplied by e to the age over the time constant. If another goroutine had updated the rate with a later time, the age was negative, so that the rate rose: with a time constant of 250 ms and a time 2 s older, 2,981 times.

Change: clock.Decay is at most 1, and an update never sets back the time of a rate.

Evidence: TestMeterWithOlderTime, before: 11,923,831 instead of 4,000. Ages of 2 s are assumed there, not measured.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -183,6 +183,23 @@
 	}
 }
 
+// Guards against an account that seems to ask for many times its rate: of two requests, the one that
+// read the clock first may be counted last.
+func TestMeterWithOlderTime(t *testing.T) {
+	const work, late = 1000, 2 * time.Second
+	now := clock.Instant(time.Hour)
+	for _, decay := range []time.Duration{burstDecayTime, rateDecayTime} {
+		rate := work / decay.Seconds()
+		var m meter
+		m.addWithin(now, work, decay)
+		qt.Check(t, m.decayedWithin(now.Add(-late), decay), qt.Equals, rate)
+		m.addWithin(now.Add(-late), work, decay)
+		qt.Check(t, m.decayedWithin(now, decay), qt.Equals, 2*rate)
+		m.removeWithin(now.Add(-late), work, now, decay)
+		qt.Check(t, m.decayedWithin(now, decay), qt.Equals, rate)
+	}
+}
+
 // Guards against requests with long prompts that are refused although no other
 // request is queued before them.
 func TestLongPrompt(t *testing.T) {
--- a/admission/burst.go
+++ b/admission/burst.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"rattanline.example/rattanline/clock"
@@ -68,11 +67,12 @@
 // addWithin adds work to a meter that decays with the time constant.
 func (m *meter) addWithin(now clock.Instant, work float64, decay time.Duration) {
 	m.rate = m.decayedWithin(now, decay) + work/decay.Seconds()
-	m.updated = now
+	m.updated = max(m.updated, now)
 }
 
 // removeWithin removes work that was added at the given time, as far as it hasn't decayed.
 func (m *meter) removeWithin(now clock.Instant, work float64, added clock.Instant, decay time.Duration) {
+	now = max(now, m.updated)
 	left := meter{rate: work / decay.Seconds(), updated: added}
 	m.rate = max(m.decayedWithin(now, decay)-left.decayedWithin(now, decay), 0)
 	m.updated = now
@@ -80,5 +80,5 @@
 
 // decayedWithin returns the rate of a meter that decays with the time constant.
 func (m *meter) decayedWithin(now clock.Instant, decay time.Duration) float64 {
-	return m.rate * math.Exp(-now.Sub(m.updated).Seconds()/decay.Seconds())
+	return m.rate * clock.Decay(now, m.updated, decay)
 }
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -4,6 +4,7 @@
 package clock
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -93,5 +94,12 @@
 // Sub returns the time from o to i.
 func (i Instant) Sub(o Instant) time.Duration { return time.Duration(i - o) }
 
+// Decay returns the part that is left now of a value that decays exponentially since an instant,
+// with the time constant. It is 1 if the instant is after now, which may have been read before a lock
+// was taken.
+func Decay(now, since Instant, constant time.Duration) float64 {
+	return math.Exp(-max(now.Sub(since), 0).Seconds() / constant.Seconds())
+}
+
 // Add returns the instant d later.
 func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
--- a/placement/fault.go
+++ b/placement/fault.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"rattanline.example/rattanline/clock"
@@ -47,14 +46,14 @@
 	if fault {
 		fraction += faultWeight
 	}
-	f.fraction, f.updated = fraction, now
+	f.fraction, f.updated = fraction, max(f.updated, now)
 }
 
 func (f *faults) decayed(now clock.Instant) float64 {
 	if f.fraction == 0 {
 		return 0
 	}
-	fraction := f.fraction * math.Exp(-now.Sub(f.updated).Seconds()/faultDecayTime.Seconds())
+	fraction := f.fraction * clock.Decay(now, f.updated, faultDecayTime)
 	if fraction < minFaultFraction {
 		return 0
 	}
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"rattanline.example/rattanline/clock"
@@ -33,7 +32,7 @@
 		p.interval = interval
 	}
 	p.interval += time.Duration(paceWeight * float64(interval-p.interval))
-	p.updated = now
+	p.updated = max(p.updated, now)
 }
 
 // penalty returns the minimum advantage that the target needs because of its pace, given the mean
@@ -48,5 +47,5 @@
 		return 1
 	}
 	r := float64(p.interval)/float64(mean) - 1
-	return min(max(1+r*math.Exp(-now.Sub(p.updated).Seconds()/paceDecayTime.Seconds()), minPace), maxPace)
+	return min(max(1+r*clock.Decay(now, p.updated, paceDecayTime), minPace), maxPace)
 }
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"rattanline.example/rattanline/clock"
@@ -107,7 +106,7 @@
 
 func (s *skew) add(now clock.Instant, ratio float64) {
 	deviation := s.decayed(now) - 1
-	s.deviation, s.updated = deviation+skewWeight*(ratio-1-deviation), now
+	s.deviation, s.updated = deviation+skewWeight*(ratio-1-deviation), max(s.updated, now)
 }
 
 // decayed returns the ratio now.
@@ -115,7 +114,7 @@
 	if s.deviation == 0 {
 		return 1
 	}
-	return 1 + s.deviation*math.Exp(-now.Sub(s.updated).Seconds()/skewDecayTime.Seconds())
+	return 1 + s.deviation*clock.Decay(now, s.updated, skewDecayTime)
 }
 
 // learnWork adds an attempt at a target that is no engine to what is known about it and its
