Keep newer knowledge while the returned store shows older content

Cause: a view that entered an era took all entries and removals of the store, which are some seconds older than what it had acted by.

Polls wait no longer than until the first key is due.

--- a/edge/return_test.go
+++ b/edge/return_test.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/standin"
 )
 
@@ -115,3 +117,89 @@
 		})
 	}
 }
+
+// returnUnwritten lets the store come back from the copy, and waits until all daemons have read it. Its
+// writers haven't written again what it lost.
+func (r *returningFleet) returnUnwritten() {
+	r.t.Helper()
+	r.returnFrom(r.copied, func() {})
+	era := port.Era(r.store.Era())
+	r.assertAll("reads the returned store", func(d *process) bool { return d.mirror.View().Position.Era == era })
+}
+
+// assertUsed asks all daemons for a while, and checks that of the targets only the given ones get requests.
+func (r *returningFleet) assertUsed(t *testing.T, used ...*targetServer) {
+	t.Helper()
+	unused := slices.DeleteFunc([]*targetServer{r.desk, r.other}, func(s *targetServer) bool { return slices.Contains(used, s) })
+	before := map[string]int{}
+	for _, s := range unused {
+		before[s.id] = len(s.requests())
+	}
+	want := 200
+	if len(used) == 0 {
+		want = 503
+	}
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, d := range r.daemons {
+			assertStatus(t, ask(t, d, "GET", "/read/", ""), want)
+		}
+	}
+	for _, s := range unused {
+		qt.Assert(t, s.requests(), qt.HasLen, before[s.id], qt.Commentf("%s", s.id))
+	}
+}
+
+// Guards against daemons that go back to what the store holds right after its return from a copy: requests
+// to a target that leaves or has left, or into an evacuated failure domain, and 503 because newer targets
+// are missing.
+func TestOlderContentAfterReturn(t *testing.T) {
+	t.Run("target leaves", func(t *testing.T) {
+		r := newReturningFleet(t)
+		r.list(r.desk, "draining")
+		r.assertAll("knows that the target leaves", func(d *process) bool { return d.mirror.View().Targets[r.desk.id].Leaving })
+		r.returnUnwritten()
+		r.assertUsed(t, r.other)
+		r.list(r.desk, "draining")
+		r.assertUsed(t, r.other)
+	})
+	t.Run("target has left", func(t *testing.T) {
+		r := newReturningFleet(t)
+		r.list(r.desk, "draining")
+		r.store.Remove("servers/" + r.desk.id)
+		r.assertAll("knows that the target is gone", func(d *process) bool { return d.mirror.View().Targets[r.desk.id].Removed != 0 })
+		r.returnUnwritten()
+		r.assertUsed(t, r.other)
+	})
+	t.Run("failure domain evacuated", func(t *testing.T) {
+		r := newReturningFleet(t)
+		r.store.Put("op/evacuate/zone-a", "{}")
+		r.assertAll("knows the evacuation", func(d *process) bool { return d.mirror.View().Evacuated["zone-a"] })
+		r.returnUnwritten()
+		r.assertUsed(t)
+		r.store.Put("op/evacuate/zone-a", "{}")
+		r.assertUsed(t)
+	})
+	t.Run("targets replaced", func(t *testing.T) {
+		r := newReturningFleet(t)
+		added := r.serve("desk", "i-added", nil)
+		r.store.Remove("servers/" + r.desk.id)
+		r.store.Remove("servers/" + r.other.id)
+		r.assertAll("knows the new target", func(d *process) bool {
+			return d.mirror.View().Targets[r.other.id].Removed != 0 && d.table.Known(added.id)
+		})
+		time.Sleep(1200 * time.Millisecond) // targets whose entries were removed are used a little longer
+		r.returnUnwritten()
+		r.assertUsed(t, added)
+	})
+	t.Run("not written again", func(t *testing.T) {
+		r := newReturningFleet(t)
+		added := r.serve("desk", "i-added", nil)
+		r.store.Put("op/evacuate/zone-b", "{}")
+		r.assertAll("knows both", func(d *process) bool { return d.table.Known(added.id) && d.mirror.View().Evacuated["zone-b"] })
+		r.returnUnwritten()
+		r.assertAll("follows the store in the end", func(d *process) bool {
+			v := d.mirror.View()
+			return v.Targets[added.id].Removed != 0 && !v.Evacuated["zone-b"]
+		})
+	})
+}
--- a/mirror/era.go
+++ b/mirror/era.go
@@ -1,8 +1,6 @@
 package mirror
 
 import (
-	"bytes"
-
 	"github.com/VictoriaMetrics/metrics"
 
 	"rattanline.example/rattanline/clock"
@@ -58,33 +56,31 @@
 }
 
 // enterEra replaces the entries of a view by a complete set of entries of a later era. The
-// revisions of the view mean nothing there, so each entry that differs replaces the one of the view.
+// revisions of the view mean nothing there. What may be newer in the view than in the set is carried.
 func (m *Mirror) enterEra(v *View, entries []port.Entry, at port.Position, now clock.Instant) []Record {
-	before := v.entries
-	v.entries = make(map[string]port.Entry, len(entries))
+	known := v.known(now)
+	v.entries, v.carried = make(map[string]port.Entry, len(entries)), map[string]Carried{}
 	var records []Record
 	newest := at.Revision
 	for _, e := range entries {
 		newest = max(newest, e.Revision)
-		if old, ok := before[e.Key]; ok && sameEntry(old, e) {
+		before, ok := known[e.Key]
+		delete(known, e.Key)
+		switch {
+		case ok && m.unchanged(e, before):
 			v.entries[e.Key] = e
-			continue
-		}
-		if r, _ := m.take(v, e, now); r != nil {
-			records = append(records, r)
-		}
-	}
-	for key := range before {
-		if _, ok := v.entries[key]; !ok {
-			r := m.decodeRemoval(key)
-			v.remove(r, now)
-			if r != nil {
+		case ok && m.isCarried(e.Key) && !m.supersedes(e, before):
+			v.entries[e.Key] = e
+			m.carry(v, before, e.Revision, now)
+		default:
+			if r, _ := m.take(v, e, now); r != nil {
 				records = append(records, r)
 			}
 		}
 	}
+	records = append(records, m.leaveOut(v, known, now)...)
 	m.Logger.Warn().Int64("from", int64(v.Position.Era)).Int64("to", int64(at.Era)).Int64("from-revision", v.Position.Revision).
-		Int64("revision", at.Revision).Int("changed", len(records)).Msg("era of the key-value service changed")
+		Int64("revision", at.Revision).Int("changed", len(records)).Int("carried", len(v.carried)).Msg("era of the key-value service changed")
 	if v.Position.Era != 0 {
 		storeReturns.Inc()
 	}
@@ -93,6 +89,21 @@
 	return records
 }
 
-func sameEntry(a, b port.Entry) bool {
-	return a.Revision == b.Revision && bytes.Equal(a.Value, b.Value)
+// leaveOut carries what the service doesn't show any more, or removes it from the view.
+func (m *Mirror) leaveOut(v *View, missing map[string]Carried, now clock.Instant) []Record {
+	var records []Record
+	for key, c := range missing {
+		switch {
+		case c.Removed:
+		case m.isCarried(key):
+			m.carry(v, c, 0, now)
+		default:
+			r := m.decodeRemoval(key)
+			v.remove(r, now)
+			if r != nil {
+				records = append(records, r)
+			}
+		}
+	}
+	return records
 }
--- a/mirror/era_test.go
+++ b/mirror/era_test.go
@@ -19,6 +19,13 @@
 	return port.Position{Era: era, Revision: revision}
 }
 
+// settled returns the view as it is settleTime later.
+func settled(m *Mirror) *View {
+	v := m.View().clone()
+	m.settle(v, clock.Now().Add(settleTime))
+	return v
+}
+
 // Guards against changes that are ignored, because the service gave out their revisions before it came
 // back from a copy.
 func TestReturnFromCopy(t *testing.T) {
@@ -29,6 +36,11 @@
 		v := m.View()
 		listed, gone := targetNames(v)
 		slices.Sort(listed)
+		qt.Assert(t, listed, qt.DeepEquals, []string{"a", "b", "c"})
+		qt.Assert(t, gone, qt.HasLen, 0)
+		v = settled(m)
+		listed, gone = targetNames(v)
+		slices.Sort(listed)
 		qt.Assert(t, listed, qt.DeepEquals, []string{"b", "c"})
 		qt.Assert(t, gone, qt.DeepEquals, []string{"a"})
 		qt.Assert(t, v.Index.Version(), qt.Equals, uint64(3))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -84,6 +84,7 @@
 	for ctx.Err() == nil {
 		if after != nil && m.Polling != nil && !m.Polling() {
 			pause(ctx, standbyInterval)
+			m.applyUpdate(unchangedView, true)
 			after = &port.Position{}
 			*after = m.View().Position // skips the changes received from peers
 			continue
@@ -136,8 +137,8 @@
 	}
 }
 
-// applyUpdate applies an update to a clone of the view. An idle update only prunes
-// targets, and does nothing if there are none to prune.
+// applyUpdate applies an update to a clone of the view. An idle update only prunes targets and ends
+// what is carried, and does nothing if there is neither.
 func (m *Mirror) applyUpdate(update func(*View, clock.Instant) []Record, idle bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -154,12 +155,12 @@
 				idle = false
 			}
 		}
-		if idle {
+		if idle && v.settlesIn(now, pollWait) > 0 {
 			return
 		}
 	}
 	v = v.clone()
-	records := update(v, now)
+	records := append(update(v, now), m.settle(v, now)...)
 	v.prune(now)
 	m.view.Store(v)
 	if len(records) > 0 && m.Changed != nil {
@@ -167,6 +168,9 @@
 	}
 }
 
+// unchangedView is the update of a view that only ages.
+func unchangedView(*View, clock.Instant) []Record { return nil }
+
 // Content is what a daemon sends of its mirror to another one.
 type Content struct {
 	Position port.Position
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -94,7 +94,15 @@
 	return port.Event{Entry: entry(key, "", revision), Deleted: true}
 }
 
-// newMirror returns a mirror that decodes the keys "target/NAME" and "config".
+// decodeTarget decodes the service of a target, and optionally its start time and "leaving".
+func decodeTarget(name, value string) Target {
+	t := Target{Name: name}
+	_, _ = fmt.Sscan(strings.TrimSuffix(value, " leaving"), &t.Service, &t.StartTime)
+	t.Leaving = strings.HasSuffix(value, " leaving")
+	return t
+}
+
+// newMirror returns a mirror that decodes the keys "target/NAME", "evacuated/NAME" and "config".
 func newMirror(s *store) *Mirror {
 	return &Mirror{
 		Poller: s,
@@ -104,7 +112,9 @@
 			case string(e.Value) == "spoiled":
 				return nil, errors.New("spoiled")
 			case isTarget:
-				return Target{Name: name, Service: string(e.Value)}, nil
+				return decodeTarget(name, string(e.Value)), nil
+			case strings.HasPrefix(e.Key, "evacuated/"):
+				return Evacuation{Domain: e.Key[len("evacuated/"):]}, nil
 			case e.Key == "config":
 				return Configuration{Document: config.Document{Version: uint64(len(e.Value))}}, nil
 			}
@@ -114,6 +124,9 @@
 			if name, ok := strings.CutPrefix(key, "target/"); ok {
 				return Target{Name: name}
 			}
+			if domain, ok := strings.CutPrefix(key, "evacuated/"); ok {
+				return Evacuation{Domain: domain}
+			}
 			return nil
 		},
 	}
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -40,7 +40,7 @@
 	if after.Era < era {
 		return *after, port.ErrCompacted
 	}
-	events, at, err := m.Poller.Poll(ctx, *after, pollWait)
+	events, at, err := m.Poller.Poll(ctx, *after, m.View().settlesIn(clock.Now(), pollWait))
 	if err != nil {
 		return at, err
 	}
--- a/mirror/view.go
+++ b/mirror/view.go
@@ -40,7 +40,10 @@
 	// configuration is the entry of Index. The service may show a lower version after it came
 	// back from a copy.
 	configuration port.Entry
-	log           changeLog
+	// carried holds what the view acts by instead of entries of the service that may be older, and
+	// removals the last removals, both by key.
+	carried, removals map[string]Carried
+	log               changeLog
 }
 
 // Since returns the changes after the position, without values that later ones replace. It returns
@@ -67,6 +70,7 @@
 		Members: map[string]Member{}, entries: map[string]port.Entry{},
 		Rollouts: map[string]Rollout{}, RolloutStates: map[string]RolloutState{},
 		Suspects: map[string]quarantine.Suspect{}, PoisonSegments: map[string]quarantine.PoisonSegment{},
+		carried: map[string]Carried{}, removals: map[string]Carried{},
 	}
 }
 
@@ -76,6 +80,7 @@
 	n.Targets, n.Members, n.entries = maps.Clone(v.Targets), maps.Clone(v.Members), maps.Clone(v.entries)
 	n.Rollouts, n.RolloutStates = maps.Clone(v.Rollouts), maps.Clone(v.RolloutStates)
 	n.Suspects, n.PoisonSegments = maps.Clone(v.Suspects), maps.Clone(v.PoisonSegments)
+	n.carried, n.removals = maps.Clone(v.carried), maps.Clone(v.removals)
 	return &n
 }
 
@@ -98,9 +103,17 @@
 		return nil
 	}
 	change := Change{Event: e, received: received}
+	if m.outdated(v, e) {
+		v.log.add(change)
+		v.entries[e.Entry.Key] = e.Entry
+		return nil
+	}
+	delete(v.carried, e.Entry.Key)
 	if e.Deleted {
 		v.log.add(change)
 		delete(v.entries, e.Entry.Key)
+		known.Revision = e.Entry.Revision
+		v.removals[e.Entry.Key] = Carried{Entry: known, Removed: true, until: received.Add(removalRetention)}
 		r := m.decodeRemoval(e.Entry.Key)
 		v.remove(r, received)
 		return r
@@ -119,6 +132,7 @@
 		return nil, false
 	}
 	v.entries[e.Key] = e
+	delete(v.removals, e.Key)
 	if err == nil {
 		effective := v.add(r, received)
 		if _, ok := r.(Configuration); ok && effective {
@@ -187,13 +201,14 @@
 	}
 }
 
-// prune drops targets whose entries were removed more than removedRetention ago.
+// prune drops targets whose entries were removed more than removedRetention ago, and old removals.
 func (v *View) prune(now clock.Instant) {
 	for name, t := range v.Targets {
 		if t.Removed != 0 && now.Sub(t.Removed) > removedRetention {
 			delete(v.Targets, name)
 		}
 	}
+	maps.DeleteFunc(v.removals, func(_ string, r Carried) bool { return now >= r.until })
 }
 
 // decode decodes an entry. Other writers may have written it, so a panic of the decoder is an
