Ask the peers before a starting daemon acts by the store

What callers saw (trials with real processes, reproduced by a test): a daemon that started while the store, back from a copy, showed an older configuration acted by it: it served a key that had been taken away.

Cause: the daemon knows nothing but the store, and the messages of its peers held what the store shows, not what the peers act by.

Change: messages state the version in force. Replies hold the configuration and what is carried over a return, where the caller may lack it. A daemon that starts has no configuration until a peer of the same era has answered, all known peers were asked, or 1 s has passed. Without an era in the store's replies nothing changes.

Evidence: edge TestStartWhileStoreShowsOlderContent gets 200 for the key on the code before, and passes now.

Open: all daemons starting in that moment follow the store; a daemon without seeds and listed members has nobody to ask.

--- a/edge/behind.go
+++ b/edge/behind.go
@@ -49,7 +49,7 @@
 // whether it has.
 func (d *Daemon) awaitVersion(ctx context.Context, version uint64) bool {
 	for deadline := time.Now().Add(versionWait); ; {
-		if x := d.mirror.View().Index; x != nil && x.Version() >= version {
+		if x := d.view().Index; x != nil && x.Version() >= version {
 			return true
 		}
 		if ctx.Err() != nil || time.Now().After(deadline) {
--- a/edge/build.go
+++ b/edge/build.go
@@ -141,7 +141,7 @@
 	d.memory.Publish()
 	d.segments.Quarantined = forwarder.AbortSegment
 	d.handler = &gateway.Handler{
-		Protocol: platform.Wire{}, View: d.mirror.View, ConfigurationAge: d.mirrorAge, OnLoad: d.table.SetLoad, OnNotice: d.table.SetNotice,
+		Protocol: platform.Wire{}, View: d.view, ConfigurationAge: d.mirrorAge, OnLoad: d.table.SetLoad, OnNotice: d.table.SetNotice,
 		Forwarder: forwarder, Pool: d.pool, MaxKeyAge: max(s.RevokeTime-keyAgeMargin, 0), Leaving: d.leaving.Load,
 		Overloaded: d.requestOverloaded, CloseConnections: d.tooManyConns, CallerGone: d.conns.callerGone,
 		EventBatchDelay: func() time.Duration { return d.overload.batchDelay(s.DeliveryDelay) },
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -9,6 +9,7 @@
 	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/config"
 	"rattanline.example/rattanline/exchange"
+	"rattanline.example/rattanline/mirror"
 	"rattanline.example/rattanline/placement"
 	"rattanline.example/rattanline/rollout"
 )
@@ -34,9 +35,19 @@
 
 func (d *Daemon) mirrorAge() time.Duration { return d.mirror.Age(clock.Now()) }
 
+// view returns the content of the store by which requests are handled. It has no configuration before
+// peers confirmed it.
+func (d *Daemon) view() *mirror.View {
+	v := d.mirror.View()
+	if d.exchange.Confirmed() {
+		return v
+	}
+	return v.WithoutConfiguration()
+}
+
 // ready reports whether callers may connect.
 func (d *Daemon) ready() bool {
-	return !d.withdrawn() && d.mirror.View().Index != nil && (d.handler.MaxKeyAge == 0 || d.mirrorAge() <= d.handler.MaxKeyAge)
+	return !d.withdrawn() && d.view().Index != nil && (d.handler.MaxKeyAge == 0 || d.mirrorAge() <= d.handler.MaxKeyAge)
 }
 
 // withdrawn reports whether callers should move to other daemons.
--- a/edge/return_test.go
+++ b/edge/return_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"rattanline.example/rattanline/port"
+	"rattanline.example/rattanline/setting"
 	"rattanline.example/rattanline/standin"
 )
 
@@ -203,3 +204,30 @@
 		})
 	})
 }
+
+// Guards against a daemon that starts while the returned store shows older content and acts by it: it
+// accepts a key that was taken away, answers 404 to a route that was added, and sends to a target that
+// leaves.
+func TestStartWhileStoreShowsOlderContent(t *testing.T) {
+	r := newReturningFleet(t)
+	r.configureKeys([]string{apiKey}, append(r.routes, plainRoute("/added/", "idempotent"))...)
+	r.list(r.desk, "draining")
+	r.assertAll("has the changes", func(d *process) bool {
+		v := d.mirror.View()
+		return v.Index.Version() == uint64(r.version) && v.Targets[r.desk.id].Leaving
+	})
+	r.returnUnwritten()
+	before := len(r.desk.requests())
+	started := r.start(func(s *setting.HostSettings) { s.Seeds = []string{r.daemons[0].Settings.LinkAddress} })
+	served := 0
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		key, added := ask(t, started, "GET", "/keyed/", "", "Authorization", "Token other"), ask(t, started, "GET", "/added/", "")
+		qt.Assert(t, key.status, qt.Not(qt.Equals), 200, qt.Commentf("%s", key.body))
+		qt.Assert(t, added.status, qt.Not(qt.Equals), 404, qt.Commentf("%s", added.body))
+		if added.status == 200 {
+			served++
+		}
+	}
+	qt.Check(t, served > 0, qt.IsTrue)
+	qt.Check(t, r.desk.requests(), qt.HasLen, before)
+}
--- a/edge/view.go
+++ b/edge/view.go
@@ -10,6 +10,9 @@
 func (d *Daemon) viewChanged(v *mirror.View, records []mirror.Record) {
 	d.rollouts.Update(v)
 	d.table.Update(v)
+	if !d.exchange.Confirmed() {
+		d.exchange.Announce() // asks the peers
+	}
 	for _, r := range records {
 		e := d.Logger.Info().Int64("revision", v.Position.Revision)
 		d.announceIfUrgent(r, v)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -73,6 +73,8 @@
 	// totals is the sum of the reports of other daemons, as computed at totalsAt.
 	totals   Report
 	totalsAt clock.Instant
+
+	confirmation confirmation
 }
 
 func (x *Exchange) init() {
@@ -139,9 +141,12 @@
 	list, pause := x.addresses(now, kind), x.interval(now)
 	x.rounds++
 	x.logLiveness(now)
+	x.decideConfirmation(now)
 	x.mu.Unlock()
 	for address, name := range list {
-		go x.call(ctx, address, name)
+		go func() {
+			x.confirmBy(address, x.call(ctx, address, name))
+		}()
 	}
 	return pause
 }
@@ -181,9 +186,9 @@
 	return min(max(pause, minLargeFleetInterval), Interval)
 }
 
-// call sends this daemon's message to a peer and processes the reply. A slow call
-// may overlap with the next round.
-func (x *Exchange) call(ctx context.Context, address, name string) {
+// call sends this daemon's message to a peer, processes the reply and returns it, nil if there is
+// none. A slow call may overlap with the next round.
+func (x *Exchange) call(ctx context.Context, address, name string) *Message {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := x.now()
@@ -191,9 +196,10 @@
 	var reply Message
 	if err := x.Link.Call(limited, address, Service+".Swap", message, &reply); err != nil {
 		x.recordFailure(ctx, name, err)
-		return
+		return nil
 	}
 	x.receive(reply, sentAt, true)
+	return &reply
 }
 
 // recordFailure records that a peer did not answer, so that another is chosen as
@@ -227,7 +233,7 @@
 	now := x.now()
 	at, age := x.Mirror.Proof(now)
 	m := Message{
-		Era: at.Era, Revision: at.Revision, ProofAge: age, Want: want,
+		Era: at.Era, Revision: at.Revision, ProofAge: age, Want: want, Version: x.version(),
 		Report: x.Report(),
 	}
 	if x.Segments != nil {
@@ -271,7 +277,7 @@
 	learned = x.Segments != nil && x.Segments.Merge(now, m.Segments) || learned
 	if isReply {
 		proof := min(sentAt.Add(-m.ProofAge), now) // no mirror is known to be complete in the future
-		x.Mirror.Adopt(mirror.Content{Position: m.position(), Entries: m.Entries, Changes: m.Changes, Complete: m.Complete}, proof)
+		x.Mirror.Adopt(m.content(), proof)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -355,6 +361,7 @@
 		}
 		reply.Era, reply.Revision = v.Position.Era, v.Position.Revision
 	}
+	x.addNewerThanService(m, reply)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if m.Group == nil && x.isLarge() {
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -51,7 +51,15 @@
 	// it is false in a reply with newer content, Entries holds the whole mirror.
 	Complete bool
 	Entries  []port.Entry
-	Report   Report
+	// Version is the version of the configuration that the sender acts by, zero if it acts by none, or
+	// if the key-value service states no era.
+	Version uint64
+	// Configuration is the entry of that configuration, in a reply to a daemon that acts by a lower
+	// version and may not be able to read this one. Carried is what the sender acts by since the
+	// service came back from a copy, in a reply while the receiver may lack it.
+	Configuration *port.Entry
+	Carried       []mirror.Carried
+	Report        Report
 	// Marks holds the newest crash marks and those that the receiver lacks, nil if the receiver
 	// last stated that it has the same ones. MarksDigest is the digest of all that the sender
 	// knows. MarkDigests are those of their parts, nil if the receiver has the same marks or the
@@ -76,6 +84,14 @@
 
 func (m Message) position() port.Position { return port.Position{Era: m.Era, Revision: m.Revision} }
 
+// content returns what the message holds of the sender's mirror.
+func (m Message) content() mirror.Content {
+	return mirror.Content{
+		Position: m.position(), Entries: m.Entries, Changes: m.Changes, Complete: m.Complete,
+		Carried: m.Carried, Configuration: m.Configuration,
+	}
+}
+
 // Group aggregates the state of several daemons.
 type Group struct {
 	// Domain is the failure domain of the daemons, empty for all failure domains.
--- a/mirror/carry.go
+++ b/mirror/carry.go
@@ -26,9 +26,26 @@
 	Removed bool
 	// Shown is the revision of the entry that the service shows, zero if it shows none.
 	Shown int64
+	// Left is how long it counts from now on.
+	Left time.Duration
+
 	until clock.Instant
 }
 
+// Settling reports whether the service may not yet show all that its writers have written again since
+// it came back from a copy, or since this daemon started.
+func (v *View) Settling(now clock.Instant) bool { return now < v.settlesAt }
+
+// Carried returns what the view carries.
+func (v *View) Carried(now clock.Instant) []Carried {
+	var list []Carried
+	for _, c := range v.carried {
+		c.Left = c.until.Sub(now)
+		list = append(list, c)
+	}
+	return list
+}
+
 // isCarried reports whether the entries under the key are carried into a later era. The
 // configuration isn't, as its versions increase; of crashes the daemons keep their own records.
 func (m *Mirror) isCarried(key string) bool {
--- a/mirror/carry_test.go
+++ b/mirror/carry_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"rattanline.example/rattanline/clock"
 	"rattanline.example/rattanline/port"
 )
 
@@ -171,3 +172,51 @@
 		})
 	})
 }
+
+// Guards against a daemon that started or lagged behind while the service came back from a copy, and
+// sends to a target that its peers know to be leaving or gone; and against older knowledge of a peer
+// that replaces newer content.
+func TestCarriedByPeers(t *testing.T) {
+	leaving, gone := entry("target/a", "x 7 leaving", 70), entry("target/a", "x 7", 75)
+	for name, test := range map[string]struct {
+		carried Carried
+		shown   []port.Entry
+		later   []port.Event
+		want    string
+	}{
+		"leaving":             {carried: Carried{Entry: leaving, Shown: 50}, shown: []port.Entry{entry("target/a", "x 7", 50)}, want: "a leaving"},
+		"gone":                {carried: Carried{Entry: gone, Removed: true, Shown: 50}, shown: []port.Entry{entry("target/a", "x 7", 50)}, want: "a removed"},
+		"absent":              {carried: Carried{Entry: leaving}, want: "a leaving"},
+		"changed since":       {carried: Carried{Entry: leaving, Shown: 50}, shown: []port.Entry{entry("target/a", "x 9", 58)}, want: "a"},
+		"changed afterwards":  {carried: Carried{Entry: leaving, Shown: 50}, shown: []port.Entry{entry("target/a", "x 7", 50)}, later: []port.Event{put("target/a", "x 9", 61)}, want: "a"},
+		"unreadable":          {carried: Carried{Entry: entry("target/a", "spoiled", 70), Shown: 50}, shown: []port.Entry{entry("target/a", "x 7", 50)}, want: "a"},
+		"of a key of no kind": {carried: Carried{Entry: entry("other", "x", 70)}, want: ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMirror(nil)
+			m.Adopt(Content{Position: in(2, 60), Entries: append([]port.Entry{}, test.shown...)}, 0)
+			test.carried.Left = settleTime
+			m.Adopt(Content{Position: in(2, 60), Carried: []Carried{test.carried}}, 0)
+			m.applyUpdate(m.pollUpdate(test.later, m.View().Position), false)
+			qt.Check(t, described(m.View()), qt.Equals, test.want)
+		})
+	}
+	t.Run("handed on", func(t *testing.T) {
+		from := returned([]port.Entry{leaving}, nil, entry("target/a", "x 7", 50))
+		to := newMirror(nil)
+		to.Adopt(Content{Position: in(2, 60), Entries: from.View().Entries(), Carried: from.View().Carried(clock.Now())}, 0)
+		qt.Check(t, described(to.View()), qt.Equals, "a leaving")
+		left := to.View().Carried(clock.Now())[0].Left
+		qt.Check(t, left > 0 && left <= removalRetention, qt.IsTrue, qt.Commentf("%s", left))
+	})
+	t.Run("after the content has settled", func(t *testing.T) {
+		m := newMirror(nil)
+		m.Adopt(Content{Position: in(2, 60), Entries: []port.Entry{entry("target/a", "x 7", 50)}}, 0)
+		m.applyUpdate(func(v *View, now clock.Instant) []Record {
+			v.settlesAt = now
+			return nil
+		}, false)
+		m.Adopt(Content{Position: in(2, 60), Carried: []Carried{{Entry: leaving, Shown: 50, Left: settleTime}}}, 0)
+		qt.Check(t, described(m.View()), qt.Equals, "a")
+	})
+}
--- a/mirror/era.go
+++ b/mirror/era.go
@@ -59,7 +59,7 @@
 // revisions of the view mean nothing there. What may be newer in the view than in the set is carried.
 func (m *Mirror) enterEra(v *View, entries []port.Entry, at port.Position, now clock.Instant) []Record {
 	known := v.known(now)
-	v.entries, v.carried = make(map[string]port.Entry, len(entries)), map[string]Carried{}
+	v.entries, v.carried, v.settlesAt = make(map[string]port.Entry, len(entries)), map[string]Carried{}, now.Add(settleTime)
 	var records []Record
 	newest := at.Revision
 	for _, e := range entries {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -42,8 +42,10 @@
 	// receive its content from their peers. Nil means always.
 	Polling func() bool
 
-	mu   sync.Mutex // serializes updates of view
-	view atomic.Pointer[View]
+	mu sync.Mutex // serializes updates of view
+	// offered is the configuration that a peer acts by, while the view is empty.
+	offered *port.Entry
+	view    atomic.Pointer[View]
 	// proofTime is when the mirror was last known to be complete.
 	proofTime atomic.Int64
 	connected atomic.Bool
@@ -171,53 +173,6 @@
 // unchangedView is the update of a view that only ages.
 func unchangedView(*View, clock.Instant) []Record { return nil }
 
-// Content is what a daemon sends of its mirror to another one.
-type Content struct {
-	Position port.Position
-	// Entries holds all entries, or is nil if Changes holds those after the receiver's position,
-	// which may be none. Complete reports whether it does.
-	Entries  []port.Entry
-	Changes  []Change
-	Complete bool
-}
-
-// Adopt applies the content of another daemon's mirror. The other mirror was known to be complete
-// at proofTime, which counts for this mirror if both are then at the same position. Content of an
-// earlier era than the known one is ignored.
-func (m *Mirror) Adopt(c Content, proofTime clock.Instant) {
-	m.LearnEra(c.Position.Era)
-	if c.Position.Era < m.KnownEra() {
-		return
-	}
-	m.adopt(c)
-	if m.View().Position == c.Position {
-		m.advanceProofTime(proofTime)
-	}
-}
-
-// adopt compares the positions under the lock: a poll that ends in between may have removed an
-// entry, which an older content would bring back.
-func (m *Mirror) adopt(c Content) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	known := m.View().Position
-	switch newer := c.Position.After(known); {
-	case newer && c.Entries != nil:
-		m.applyLocked(m.replacement(c.Entries, c.Position), false)
-	case newer && c.Complete && c.Position.Era == known.Era:
-		m.applyLocked(func(v *View, now clock.Instant) []Record {
-			var records []Record
-			for _, c := range c.Changes {
-				if r := m.apply(v, c.Event, now.Add(-c.Age)); r != nil {
-					records = append(records, r)
-				}
-			}
-			v.Position = c.Position
-			return records
-		}, false)
-	}
-}
-
 // applyAll applies all changes after the revision of the view up to that of the last event. All are of its era.
 func (m *Mirror) applyAll(v *View, events []port.Event, now clock.Instant) []Record {
 	var records []Record
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -91,6 +91,9 @@
 		if at.Era != v.Position.Era && v.Position.Revision != 0 {
 			return m.enterEra(v, entries, at, now)
 		}
+		if v.Position.Revision == 0 {
+			v.settlesAt = now.Add(settleTime)
+		}
 		var records []Record
 		present := map[string]bool{}
 		newest := at.Revision
@@ -108,6 +111,10 @@
 				}
 			}
 		}
+		if m.offered != nil {
+			records = append(records, m.takeConfiguration(v, *m.offered, now)...)
+			m.offered = nil
+		}
 		v.Position.Era = at.Era
 		v.Position.Revision = max(v.Position.Revision, at.Revision)
 		v.restartLog(max(v.Position.Revision, newest))
--- a/mirror/view.go
+++ b/mirror/view.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"maps"
 	"runtime/debug"
 	"strings"
@@ -43,7 +44,16 @@
 	// carried holds what the view acts by instead of entries of the service that may be older, and
 	// removals the last removals, both by key.
 	carried, removals map[string]Carried
-	log               changeLog
+	// settlesAt is when the service shows all that its writers have written again.
+	settlesAt clock.Instant
+	log       changeLog
+}
+
+// WithoutConfiguration returns the view without its configuration.
+func (v *View) WithoutConfiguration() *View {
+	n := *v
+	n.Index = nil
+	return &n
 }
 
 // Since returns the changes after the position, without values that later ones replace. It returns
@@ -93,6 +103,20 @@
 	return entries
 }
 
+// Version returns the version of the configuration, zero while none is known.
+func (v *View) Version() uint64 {
+	if v.Index == nil {
+		return 0
+	}
+	return v.Index.Version()
+}
+
+// Configuration returns the entry of the configuration, and whether the service shows another one, as
+// it does after its return from an older copy.
+func (v *View) Configuration() (e port.Entry, isAhead bool) {
+	return v.configuration, v.Index != nil && !bytes.Equal(v.entries[v.configuration.Key].Value, v.configuration.Value)
+}
+
 // apply applies one change to a view that is not shared yet and returns its
 // record, nil if there is none. The parameter received is when the first daemon
 // received the change. Changes that the view already contains are ignored. An
