--- a/edge/return_test.go
+++ b/edge/return_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"rattanline.example/rattanline/mirror"
+	"rattanline.example/rattanline/platform"
 	"rattanline.example/rattanline/port"
 	"rattanline.example/rattanline/setting"
 	"rattanline.example/rattanline/standin"
@@ -58,7 +60,7 @@
 }
 
 // assertAll waits until the condition holds for all daemons.
-func (r *returningFleet) assertAll(what string, condition func(*process) bool) {
+func (r *rig) assertAll(what string, condition func(*process) bool) {
 	r.t.Helper()
 	for _, d := range r.daemons {
 		r.await(d.Settings.Name+": "+what, func() bool { return condition(d) })
@@ -231,3 +233,37 @@
 	qt.Check(t, served > 0, qt.IsTrue)
 	qt.Check(t, r.desk.requests(), qt.HasLen, before)
 }
+
+// Guards against daemons whose entries are missing for the rest of their runs after the store came back
+// from a copy, because it gave their leases' ids out again, so that they renew leases of others; and
+// against daemons that end such a lease when they stop.
+func TestLeasesGivenOutAgain(t *testing.T) {
+	r := newRig(t)
+	copied := r.store.Copy()
+	for range 3 {
+		r.start()
+	}
+	client := platform.NewStore(r.address)
+	listed := func(d *process) bool {
+		e, err := client.Get(t.Context(), mirror.MemberPrefix+d.Settings.Name)
+		return err == nil && e.Revision != 0
+	}
+	r.assertAll("is listed", listed)
+	var others []int64
+	r.returnFrom(copied, func() {})
+	for range lostWrites {
+		id, err := client.GrantLease(t.Context(), time.Minute)
+		qt.Assert(t, err, qt.IsNil)
+		others = append(others, id)
+	}
+	r.assertAll("is listed again", listed)
+	for _, d := range r.daemons {
+		d.stop()
+		<-d.done
+	}
+	for _, id := range others {
+		left, err := client.RenewLease(t.Context(), id)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, left > 0, qt.IsTrue, qt.Commentf("lease %d was ended by a daemon", id))
+	}
+}
