Bind the conditions of a transaction to the era of their revisions

Cause: a step of a roll-out is written on condition of two revisions. A store that came back from a copy gives revisions out again, so that a condition can hold by chance for content that the step wasn't decided by.

Change: a transaction states the era of its conditions. No step is written while the order or the state is carried over a return.

A transaction that the store executes after its return is still executed: the reply shows it only then.

--- a/mirror/carry.go
+++ b/mirror/carry.go
@@ -36,6 +36,13 @@
 // it came back from a copy, or since this daemon started.
 func (v *View) Settling(now clock.Instant) bool { return now < v.settlesAt }
 
+// Carries reports whether the view acts by something else than the service shows under the key, since
+// that came back from a copy.
+func (v *View) Carries(key string) bool {
+	_, ok := v.carried[key]
+	return ok
+}
+
 // Carried returns what the view carries.
 func (v *View) Carried(now clock.Instant) []Carried {
 	var list []Carried
--- a/port/keyvalue.go
+++ b/port/keyvalue.go
@@ -50,6 +50,9 @@
 type Transaction struct {
 	Conditions []Condition
 	Writes     []Write
+	// Era is that of the revisions in the conditions, which never hold in a later one. Zero means
+	// that the service states no era, or that there are no conditions.
+	Era Era
 }
 
 // Result reports whether a transaction's conditions held, and the revision of the
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -74,6 +74,8 @@
 	services := make(map[string]*service, len(names))
 	for name := range names {
 		s := newService(name, v, before[name], c.Plan)
+		s.era = v.Position.Era
+		s.carried = v.Carries(c.OrderKey(name)) || v.Carries(mirror.RolloutPrefix+name)
 		if s.progress == nil {
 			c.begin(s)
 		}
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -181,7 +181,11 @@
 }
 
 func (c *Controller) commit(ctx context.Context, s *service, writes ...port.Write) error {
+	if s.carried {
+		return errNotShown
+	}
 	r, err := c.Store.Commit(ctx, port.Transaction{
+		Era: s.era,
 		Conditions: []port.Condition{
 			{Key: c.OrderKey(s.name), Revision: s.order.Revision},
 			{Key: mirror.RolloutPrefix + s.name, Revision: s.state.Revision},
--- a/rollout/metric.go
+++ b/rollout/metric.go
@@ -13,6 +13,10 @@
 // errChanged reports that the order or the state changed before a step was written.
 var errChanged = errors.New("the order or its state changed meanwhile")
 
+// errNotShown reports that the store, back from a copy, doesn't show the order or the state by which a
+// step was decided, so that no condition can protect it.
+var errNotShown = errors.New("the store doesn't show the order or its state")
+
 var (
 	failedSteps = metrics.NewCounter("rattanline_rollout_failed_steps_total")
 	heldBack    = metrics.NewCounter("rattanline_rollout_versions_held_back_total")
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -37,6 +37,10 @@
 	oldTargets         []string
 	unopposed          bool
 	versions           map[string]string // by target
+	// era is that of the store. carried reports whether the store, back from a copy, doesn't show the
+	// order or the state.
+	era     port.Era
+	carried bool
 
 	*progress
 }
