--- a/edge/member.go
+++ b/edge/member.go
@@ -67,8 +67,12 @@
 // so each waits for a random part of the time that the store may take for that.
 func (d *Daemon) awaitRenewal(ctx context.Context, pause time.Duration, era port.Era) {
 	for deadline := time.Now().Add(pause); ctx.Err() == nil && time.Now().Before(deadline); {
-		wait := min(time.Until(deadline), eraCheckInterval)
-		if known := d.mirror.KnownEra(); era != 0 && known != era {
+		wait := time.Until(deadline)
+		switch {
+		case era == 0:
+		case era == d.mirror.KnownEra():
+			wait = min(wait, eraCheckInterval)
+		default:
 			wait = rand.N(time.Duration(len(d.knownDaemons())) * rewriteInterval)
 			era, deadline = 0, time.Now().Add(wait)
 		}
--- a/exchange/confirmation_test.go
+++ b/exchange/confirmation_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -148,3 +149,27 @@
 	_, isAhead = all[1].Mirror.View().Configuration()
 	qt.Assert(t, isAhead, qt.IsFalse)
 }
+
+// Guards against daemons that stay in an earlier era of the key-value service because they get its content
+// from hubs: in fleets of all sizes one reader brings all of them into the new one.
+func TestEraReachesAllDaemons(t *testing.T) {
+	for _, count := range []int{3, 9, 18} {
+		n, all := newConfiguredDaemons(count)
+		publishMembers(t, all)
+		for _, x := range all {
+			read(x, 1, configured(5, 70))
+		}
+		n.runRounds(all)
+		reader := all[slices.IndexFunc(all, (*Exchange).ShouldPoll)]
+		for _, x := range all {
+			x.Polling = func() bool { return x == reader }
+		}
+		read(reader, 2, configured(2, 40))
+		n.runRounds(all)
+		for _, x := range all {
+			v := x.Mirror.View()
+			qt.Check(t, v.Position, qt.Equals, port.Position{Era: 2, Revision: 40}, qt.Commentf("%s of %d", x.Self.Name, count))
+			qt.Check(t, v.Version(), qt.Equals, uint64(5), qt.Commentf("%s of %d", x.Self.Name, count))
+		}
+	}
+}
