Keep what was confirmed when the store begins to state an era

A running daemon whose store begins to state an era would have refused requests for lack of a configuration until its next round of calls.

Cause: without an era the content counted as confirmed, but that wasn't recorded, so that the first era made the daemon ask its peers as one that starts.

Change: it is recorded in the first round. Evidence: a case of TestStartAfterReturn fails before and passes now.

--- a/exchange/confirmation.go
+++ b/exchange/confirmation.go
@@ -49,11 +49,17 @@
 	return x.confirmation.confirmed.Load() || at.Revision > 0 && at.Era == 0
 }
 
-// decideConfirmation is called with the lock held.
+// decideConfirmation is called with the lock held. What was confirmed once stays so if the service
+// begins to state an era.
 func (x *Exchange) decideConfirmation(now clock.Instant) {
-	if !x.Confirmed() && x.Mirror.View().Position.Revision > 0 {
-		x.confirmation.begin(now)
-		x.confirmation.decide(now, x.addresses(now, roundKind{urgent: true}))
+	c := &x.confirmation
+	switch {
+	case c.confirmed.Load() || x.Mirror.View().Position.Revision == 0:
+	case x.Confirmed():
+		c.confirmed.Store(true)
+	default:
+		c.begin(now)
+		c.decide(now, x.addresses(now, roundKind{urgent: true}))
 	}
 }
 
--- a/exchange/confirmation_test.go
+++ b/exchange/confirmation_test.go
@@ -122,6 +122,9 @@
 		read(all[1], 0, old)
 		qt.Assert(t, all[1].Confirmed(), qt.IsTrue)
 		qt.Assert(t, all[1].newMessage(false, "d0").Version, qt.Equals, uint64(0))
+		askPeers(t, all[1])
+		read(all[1], 1, current)
+		qt.Assert(t, all[1].Confirmed(), qt.IsTrue) // it begins to state one
 	})
 }
 
